--- a/crates/daemon/src/observer.rs
+++ b/crates/daemon/src/observer.rs
@@ -27,6 +27,8 @@
     is_ingress: bool,
     began: Instant,
     status: u16,
+    /// What was noted of it, logged when it has ended.
+    records: Vec<timeline::TimelineRecord>,
     /// Known once a target was chosen.
     service: Option<ids::EntryName>,
     class: Option<ids::EntryName>,
@@ -62,6 +64,7 @@
             is_ingress,
             began: Instant::now(),
             status: 0,
+            records: Vec::new(),
             service: None,
             class: None,
         };
@@ -87,7 +90,10 @@
             event::Event::Membership(membership::MembershipEvent::Announced(announcement)) => {
                 self.announced(state, announcement);
             }
-            event::Event::Calls(event) => self.call_event(event),
+            event::Event::Calls(event) => {
+                let version = state.dissemination.in_force.version;
+                self.call_event(event, version);
+            }
             _ => {}
         }
     }
@@ -188,13 +194,15 @@
         }
     }
 
-    fn call_event(&mut self, event: &calls::CallEvent) {
+    fn call_event(&mut self, event: &calls::CallEvent, version: ids::CatalogueVersion) {
         match event {
             calls::CallEvent::Arrived(arrival) => {
                 self.note_call(arrival.call, |request| TimelineEvent::CallArrived {
                     request,
                     method: arrival.method.clone(),
                     path: arrival.path.clone(),
+                    deadline_left_ms: arrival.deadline_left.map(|left| left.as_millis() as u64),
+                    version,
                 });
             }
             calls::CallEvent::Offered { call, offer } => {
@@ -207,9 +215,7 @@
             }
             calls::CallEvent::AttemptEnded { call, result, .. } => self.try_ended(*call, result),
             calls::CallEvent::RunEnded { call, result } => self.run_ended(*call, *result),
-            calls::CallEvent::Finished(call) => {
-                self.calls.swap_remove(call);
-            }
+            calls::CallEvent::Finished(call) => self.close(*call, None),
             calls::CallEvent::Claimed(_) => {}
         }
     }
@@ -234,17 +240,18 @@
     }
 
     fn run_ended(&mut self, call: ids::CallId, result: calls::RunResult) {
-        let Some(open) = self.calls.swap_remove(&call) else {
+        let Some(open) = self.calls.get(&call) else {
             return;
         };
         let failure = match result {
             calls::RunResult::Done { status } => {
-                self.count_run(&open, "done");
-                return self.timeline.note(TimelineEvent::RunDone {
+                self.count_run(open, "done");
+                let done = TimelineEvent::RunDone {
                     took_us: open.took_us(),
-                    request: open.request,
+                    request: open.request.clone(),
                     status,
-                });
+                };
+                return self.close(call, Some(done));
             }
             calls::RunResult::NotConnected => CallFailure::NotConnected,
             calls::RunResult::Declined => CallFailure::Declined,
@@ -255,10 +262,19 @@
             calls::RunResult::Cut => CallFailure::Cut,
             calls::RunResult::CallerGone => CallFailure::CallerGone,
         };
-        self.count_run(&open, failure_word(failure));
-        let request = open.request;
-        self.timeline
-            .note(TimelineEvent::RunFailed { request, failure });
+        self.count_run(open, failure_word(failure));
+        let request = open.request.clone();
+        self.close(call, Some(TimelineEvent::RunFailed { request, failure }));
+    }
+
+    /// Forgets a call that this process is done with, and has it logged.
+    fn close(&mut self, call: ids::CallId, last: Option<TimelineEvent>) {
+        let Some(mut open) = self.calls.swap_remove(&call) else {
+            return;
+        };
+        let last = last.map(|event| self.timeline.keep(event));
+        open.records.extend(last);
+        self.timeline.log_request(&open.records);
     }
 
     fn call_effect(&mut self, effect: &calls::CallEffect) {
@@ -271,6 +287,8 @@
                     attempt: plan.offer.attempt,
                     target: plan.candidate.target.clone(),
                     node: plan.candidate.address,
+                    deadline_left_ms: plan.offer.deadline_left_ms,
+                    patience_ms: plan.offer.patience_ms,
                 });
             }
             calls::CallEffect::Run(call, plan) => {
@@ -284,10 +302,11 @@
                     self.count_call(open, "answered");
                     let latency = self.metrics.call_seconds.with_label_values(&open.labels());
                     latency.observe(open.began.elapsed().as_secs_f64());
-                    self.timeline.note(TimelineEvent::CallAnswered {
-                        request: open.request.clone(),
-                        status: open.status,
-                        took_us: open.took_us(),
+                    let (status, took_us) = (open.status, open.took_us());
+                    self.note_call(*call, |request| TimelineEvent::CallAnswered {
+                        request,
+                        status,
+                        took_us,
                     });
                 }
             }
@@ -296,7 +315,7 @@
         }
     }
 
-    fn refused(&self, call: ids::CallId, refusal: &hazeltiller_wire::calls::CallRefusal) {
+    fn refused(&mut self, call: ids::CallId, refusal: &hazeltiller_wire::calls::CallRefusal) {
         let Some(open) = self.calls.get(&call) else {
             return;
         };
@@ -314,17 +333,28 @@
                 },
             );
         }
-        let event = if open.is_ingress {
-            TimelineEvent::CallRefused {
+        let is_ingress = open.is_ingress;
+        let took_us = open.took_us();
+        if is_ingress {
+            return self.note_call(call, |request| TimelineEvent::CallRefused {
                 request,
                 code,
                 outcome: refusal.outcome,
-                took_us: open.took_us(),
-            }
-        } else {
-            TimelineEvent::OfferRefused { request, code }
+                retry_after_ms: refusal.retry_after_ms,
+                took_us,
+            });
+        }
+        let load = refusal.load;
+        let refused = TimelineEvent::OfferRefused {
+            request,
+            code,
+            limit: refusal.limit.as_ref().map(ToString::to_string),
+            running: load.map(|load| load.in_flight),
+            queued: load.map(|load| load.queued),
+            slots: load.map(|load| load.slots),
         };
-        self.timeline.note(event);
+        // Nothing of it runs, so that its end is no failed run.
+        self.close(call, Some(refused));
     }
 
     fn name_call(&mut self, call: ids::CallId, offer: &hazeltiller_wire::calls::CallOffer) {
@@ -358,9 +388,14 @@
         took.observe(open.began.elapsed().as_secs_f64());
     }
 
-    fn note_call(&self, call: ids::CallId, event: impl FnOnce(ids::RequestId) -> TimelineEvent) {
-        if let Some(open) = self.calls.get(&call) {
-            self.timeline.note(event(open.request.clone()));
+    fn note_call(
+        &mut self,
+        call: ids::CallId,
+        event: impl FnOnce(ids::RequestId) -> TimelineEvent,
+    ) {
+        if let Some(open) = self.calls.get_mut(&call) {
+            let record = self.timeline.keep(event(open.request.clone()));
+            open.records.push(record);
         }
     }
 }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -20,6 +20,9 @@
 /// thread for each core its calls spend their time waking threads (docs/design/threads.md).
 pub const DEFAULT_WORKER_THREADS: usize = 2;
 
+/// One of how many requests that ended well is logged where the settings do not say.
+pub const DEFAULT_SAMPLE: u64 = 64;
+
 /// The project's own interface.
 pub const OWN_INTERFACE: &str = "own";
 /// The interface of the platform that the program was built for.
@@ -80,8 +83,10 @@
 pub struct LogSettings {
     /// Least important level that is written.
     pub level: String,
-    /// File that is appended to; absent: standard error.
+    /// File that is appended to; absent: standard output.
     pub file: Option<PathBuf>,
+    /// One of so many requests that ended well is logged, chosen by its id; 0: none.
+    pub sample: u64,
 }
 
 impl Default for LogSettings {
@@ -89,6 +94,7 @@
         Self {
             level: "info".into(),
             file: None,
+            sample: DEFAULT_SAMPLE,
         }
     }
 }
--- a/crates/daemon/src/settings/schema.rs
+++ b/crates/daemon/src/settings/schema.rs
@@ -231,9 +231,16 @@
             "log.file",
             SettingKind::Path,
             false,
-            "standard error",
+            "standard output",
             "File that the log is added to.",
         ),
+        row(
+            "log.sample",
+            SettingKind::Number(0..=1_000_000),
+            false,
+            &super::DEFAULT_SAMPLE.to_string(),
+            "One of so many requests that ended well is logged, chosen by its id alike on every node; 0 logs none. Those that did not are logged whole.",
+        ),
     ]
 }
 
--- a/crates/daemon/src/timeline.rs
+++ b/crates/daemon/src/timeline.rs
@@ -14,8 +14,11 @@
 use hazeltiller_wire::message;
 use serde::Serialize;
 
-/// Lines of the log that troubles of calls may take in a second.
-const CALL_LINES_A_SECOND: u32 = 50;
+use crate::logging;
+
+/// Lines of the log that requests may take in a second; overload is not made worse by telling of
+/// it. At 300 bytes a line this is 120 KB/s at most.
+const CALL_LINES_A_SECOND: u32 = 400;
 const SECOND_MS: u64 = 1000;
 
 /// The hybrid logical clock of a process.
@@ -82,7 +85,7 @@
     lines: LineBudget,
 }
 
-/// Bounds the log lines of calls, so that overload is not made worse by telling of it.
+/// Bounds the log lines of calls.
 #[derive(Debug, Default)]
 struct LineBudget {
     second: u64,
@@ -90,6 +93,24 @@
     suppressed: u64,
 }
 
+/// A record as it stands in the log.
+#[derive(Debug, Serialize)]
+struct RecordLine<'a> {
+    level: &'static str,
+    instance: &'a ids::InstanceName,
+    #[serde(flatten)]
+    record: &'a TimelineRecord,
+}
+
+/// Says that lines of calls were left out.
+#[derive(Debug, Serialize)]
+struct SuppressedLine<'a> {
+    level: &'static str,
+    instance: &'a ids::InstanceName,
+    kind: &'static str,
+    count: u64,
+}
+
 /// The time line of a process.
 #[derive(Debug, Clone)]
 pub struct Timeline {
@@ -145,24 +166,65 @@
 
     /// Notes an event and logs it.
     pub fn note(&self, event: timeline::TimelineEvent) {
+        let record = self.keep(event);
+        self.log(&record);
+    }
+
+    /// Notes an event; whether it is logged is seen when its request has ended.
+    pub fn keep(&self, event: timeline::TimelineEvent) -> TimelineRecord {
         let at = self.clock.tick();
-        let is_call = event.request().is_some();
         let mut state = self.lock();
-        if !is_call || state.lines.takes(&event, at.wall) {
-            log_event(&event);
-        }
         state.last += 1;
         let record = TimelineRecord {
             sequence: state.last,
             at,
             event,
         };
-        let ring = if is_call {
+        let ring = if record.event.request().is_some() {
             &mut state.calls
         } else {
             &mut state.system
         };
-        ring.push(record);
+        ring.push(record.clone());
+        record
+    }
+
+    /// Logs all that was kept of a request that has ended, if it did not end well or is one of those
+    /// that are logged anyway.
+    pub fn log_request(&self, records: &[TimelineRecord]) {
+        let is_trouble = records.iter().any(|record| record.event.is_trouble());
+        let request = records.iter().find_map(|record| record.event.request());
+        if !is_trouble && !request.is_some_and(is_sampled) {
+            return;
+        }
+        let second = time::WallTime::now().0 / SECOND_MS;
+        let taken = self.lock().lines.takes(records.len() as u32, second);
+        if let LineAnswer::Again { suppressed } = taken
+            && suppressed > 0
+        {
+            logging::write(&SuppressedLine {
+                level: "warn",
+                instance: &self.instance,
+                kind: "lines_suppressed",
+                count: suppressed,
+            });
+        }
+        if taken != LineAnswer::Suppressed {
+            for record in records {
+                self.log(record);
+            }
+        }
+    }
+
+    fn log(&self, record: &TimelineRecord) {
+        let level = record_level(&record.event);
+        if level <= log::max_level() {
+            logging::write(&RecordLine {
+                level: logging::level_word(level),
+                instance: &self.instance,
+                record,
+            });
+        }
     }
 
     /// Events after a number, in order.
@@ -186,35 +248,49 @@
     }
 }
 
+/// Whether lines may be written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LineAnswer {
+    Taken,
+    /// They may, and they are the first of a new second.
+    Again {
+        suppressed: u64,
+    },
+    Suppressed,
+}
+
 impl LineBudget {
-    fn takes(&mut self, event: &timeline::TimelineEvent, now: time::WallTime) -> bool {
-        if !event.is_trouble() {
-            return log::log_enabled!(log::Level::Debug);
-        }
-        let second = now.0 / SECOND_MS;
+    fn takes(&mut self, lines: u32, second: u64) -> LineAnswer {
         if second != self.second {
-            if self.suppressed > 0 {
-                log::info!("kind=lines_suppressed count={}", self.suppressed);
-            }
+            let suppressed = self.suppressed;
             *self = Self {
                 second,
+                used: lines,
                 ..Self::default()
             };
+            return LineAnswer::Again { suppressed };
         }
         if self.used >= CALL_LINES_A_SECOND {
-            self.suppressed += 1;
-            return false;
+            self.suppressed += u64::from(lines);
+            return LineAnswer::Suppressed;
         }
-        self.used += 1;
-        true
+        self.used += lines;
+        LineAnswer::Taken
     }
 }
 
-fn log_event(event: &timeline::TimelineEvent) {
-    let is_call = event.request().is_some();
-    match (event.is_trouble(), is_call) {
-        (true, false) => log::warn!("{event}"),
-        (false, true) => log::debug!("{event}"),
-        _ => log::info!("{event}"),
+/// Whether a request that ended well is logged: by its id, so that every node logs the same ones.
+fn is_sampled(request: &ids::RequestId) -> bool {
+    let sample = logging::sample();
+    let hash = blake3::hash(request.as_str().as_bytes());
+    let number = u64::from_le_bytes(*hash.as_bytes().first_chunk().expect("a hash is longer"));
+    sample > 0 && number.is_multiple_of(sample)
+}
+
+fn record_level(event: &timeline::TimelineEvent) -> log::Level {
+    if event.is_trouble() {
+        log::Level::Warn
+    } else {
+        log::Level::Info
     }
 }
--- a/crates/engine/src/admission.rs
+++ b/crates/engine/src/admission.rs
@@ -17,6 +17,7 @@
 pub mod pace;
 pub mod queue;
 pub mod rate;
+pub mod reserve;
 mod urgency;
 
 /// Rank of a class that this node does not know yet: it is served last.
@@ -41,12 +42,25 @@
 pub struct TargetAdmission {
     /// Calls that run.
     pub running: u32,
+    /// Those of them that are of the class that is served last.
+    pub running_last: u32,
+    /// What the others use.
+    pub urgent: reserve::UrgentUse,
     /// Calls that wait.
     pub queue: queue::FairQueue,
     /// What its runs show.
     pub pace: pace::TargetPace,
 }
 
+impl TargetAdmission {
+    /// Whether a free slot may go to the class that is served last.
+    fn is_open_to_last(&self, slots: u32, now: time::MonotonicTime) -> bool {
+        let turnover = self.pace.time_for(1.0, slots);
+        let reserved = self.urgent.reserved(slots, turnover, now);
+        self.running_last + reserved < slots
+    }
+}
+
 /// State of admission.
 #[derive(Debug, Clone, Default)]
 pub struct AdmissionState {
@@ -83,19 +97,28 @@
 /// Gives a free slot to a waiting call, if there are both; the call runs.
 pub fn next(state: &mut reducer::EngineState, target: &ids::TargetName) -> Option<ids::CallId> {
     let slots = slots(state, target);
+    let now = state.now;
+    let service = &state.membership.targets.get(target)?.record.service;
+    let last_rank = state.routing.routes.last_rank(service);
     let admission = state.admission.targets.get_mut(target)?;
     if admission.running >= slots {
         return None;
     }
-    let queued = admission.queue.pop()?;
+    let is_open = admission.is_open_to_last(slots, now);
+    let (queued, rank) = if is_open {
+        admission.queue.pop()?
+    } else {
+        admission.queue.pop_better(last_rank?)?
+    };
     admission.running += 1;
+    admission.running_last += u32::from(Some(rank) >= last_rank);
     Some(queued.call)
 }
 
 /// Takes a waiting call out of the queue of a target that takes no more.
 pub fn evict(state: &mut reducer::EngineState, target: &ids::TargetName) -> Option<ids::CallId> {
     let admission = state.admission.targets.get_mut(target)?;
-    admission.queue.pop().map(|queued| queued.call)
+    admission.queue.pop().map(|(queued, _rank)| queued.call)
 }
 
 /// Frees the slot of a run that ended and learns from it.
@@ -106,21 +129,29 @@
     result: calls::RunResult,
 ) {
     let announced = announced_slots(state, &offer.target);
+    let is_last = urgency::is_bounded(state, offer);
+    let now = state.now;
     let Some(admission) = state.admission.targets.get_mut(&offer.target) else {
         return;
     };
     match result {
         calls::RunResult::Done { status: 503 } | calls::RunResult::Declined => {
-            admission.pace.note_shed(admission.running);
+            admission.pace.note_shed(admission.running, announced);
         }
         calls::RunResult::Done { status } if status < 500 => {
             admission
                 .pace
-                .note_run(&offer.route, took, offer.cost, announced);
+                .note_run(&offer.route, took, offer.cost, announced, admission.running);
         }
         _ => {}
     }
     admission.running = admission.running.saturating_sub(1);
+    if is_last {
+        admission.running_last = admission.running_last.saturating_sub(1);
+    } else {
+        let latency = Duration::from_millis(u64::from(offer.latency_left_ms));
+        admission.urgent.note_run(took, latency, now);
+    }
 }
 
 /// Takes a call out of its queue.
@@ -225,13 +256,18 @@
 ) -> AdmissionAnswer {
     let slots = slots(state, &offer.target);
     let share = share(state, offer);
+    let useful = urgency::useful_time(state, offer);
+    let is_last = urgency::is_bounded(state, offer);
+    let now = state.now;
     let admission = state
         .admission
         .targets
         .entry(offer.target.clone())
         .or_default();
-    if admission.running < slots && admission.queue.is_empty() {
+    let is_open = !is_last || admission.is_open_to_last(slots, now);
+    if admission.running < slots && admission.queue.is_empty() && is_open {
         admission.running += 1;
+        admission.running_last += u32::from(is_last);
         admission.queue.charge(&share, offer.cost);
         return AdmissionAnswer::Run;
     }
@@ -244,10 +280,12 @@
     if wait + run > left {
         return AdmissionAnswer::Refuse(refuse_unreachable(state, offer, wait));
     }
-    let useful = urgency::useful_time(state, offer);
     let is_late = wait + run > useful;
     if is_late || wait > Duration::from_millis(u64::from(offer.patience_ms)) {
-        return AdmissionAnswer::Refuse(refuse_late(state, offer, wait));
+        // Room is there once those ahead are so few that a run would end in time.
+        let excess = (wait + run).saturating_sub(useful);
+        let next = admission.pace.time_for(1.0, slots);
+        return AdmissionAnswer::Refuse(refuse_late(state, offer, excess.max(next)));
     }
     let longest = longest_wait(state, offer);
     if wait > longest {
@@ -383,7 +421,7 @@
 fn refuse_late(
     state: &reducer::EngineState,
     offer: &wire::CallOffer,
-    wait: Duration,
+    room_in: Duration,
 ) -> wire::CallRefusal {
     let limit = limit(
         entry::EntryKind::Route,
@@ -392,7 +430,7 @@
     );
     let refusal = wire::CallRefusal::not_run(code::ResultCode::LatencyUnreachable)
         .elsewhere()
-        .by_limit(limit, whole_millis(wait));
+        .by_limit(limit, whole_millis(room_in));
     with_load(state, offer, refusal)
 }
 
--- a/crates/engine/src/admission/pace.rs
+++ b/crates/engine/src/admission/pace.rs
@@ -13,6 +13,12 @@
 const ROUTE_SMOOTHING: f64 = 0.1;
 /// Runs of a route before its own time counts.
 const FEWEST_RUNS: u32 = 3;
+/// What is left of earlier calls, with each new one, in the share of idle sheds: about the last 30.
+const IDLE_MEMORY: f64 = 0.97;
+/// Sheds of an idle target that show a fault, where they are this share of its calls: a single one
+/// may have crossed a call that the target took from elsewhere.
+const FEWEST_IDLE_SHEDS: f64 = 2.5;
+const LEAST_IDLE_SHARE: f64 = 0.1;
 /// Routes that are remembered for a target.
 const MOST_ROUTES: usize = 64;
 /// What is left of the slots in use after a target has shed a call.
@@ -31,11 +37,45 @@
     by_route: IndexMap<ids::EntryName, (f64, u32)>,
     /// Slots that it was found to take, while that is less than it announced.
     slots: Option<f64>,
+    /// What it does with calls while it has little to do.
+    idle: IdleSheds,
+}
+
+/// Whether a target sheds calls that its load is no reason for.
+///
+/// One that takes fewer calls at once than it announced sheds those beyond; with fewer slots it
+/// sheds none. One that is at fault sheds a part of all, however few it has: with fewer slots it
+/// sheds as many, and giving it less work only wastes what it would have served.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+struct IdleSheds {
+    shed: f64,
+    all: f64,
+}
+
+impl IdleSheds {
+    fn note(&mut self, is_shed: bool) {
+        self.all = self.all * IDLE_MEMORY + 1.0;
+        self.shed = self.shed * IDLE_MEMORY + f64::from(u8::from(is_shed));
+    }
+
+    fn is_faulty(&self) -> bool {
+        self.shed >= FEWEST_IDLE_SHEDS && self.shed >= self.all * LEAST_IDLE_SHARE
+    }
 }
 
 impl TargetPace {
     /// Takes a run that ended well.
-    pub fn note_run(&mut self, route: &ids::EntryName, took: Duration, cost: u32, announced: u32) {
+    pub fn note_run(
+        &mut self,
+        route: &ids::EntryName,
+        took: Duration,
+        cost: u32,
+        announced: u32,
+        running: u32,
+    ) {
+        if self.is_idle(running, announced) {
+            self.idle.note(false);
+        }
         let micros = took.as_secs_f64() * 1e6;
         let (of_route, runs) = self.by_route.entry(route.clone()).or_default();
         *runs = runs.saturating_add(1);
@@ -54,8 +94,19 @@
         }
     }
 
-    /// Takes a call that the target shed while `running` ran.
-    pub fn note_shed(&mut self, running: u32) {
+    fn is_idle(&self, running: u32, announced: u32) -> bool {
+        running <= (self.slots(announced) / 2).max(1)
+    }
+
+    /// Takes a call that the target shed while `running` ran, the shed one among them.
+    pub fn note_shed(&mut self, running: u32, announced: u32) {
+        if self.is_idle(running, announced) {
+            self.idle.note(true);
+        }
+        if self.idle.is_faulty() {
+            self.slots = None;
+            return;
+        }
         let in_use = f64::from(running);
         let least = self.slots.map_or(in_use, |slots| slots.min(in_use));
         self.slots = Some((least * SHED_SHARE).max(1.0));
--- a/crates/engine/src/admission/queue.rs
+++ b/crates/engine/src/admission/queue.rs
@@ -172,16 +172,27 @@
         class.start(&share.owner, cost);
     }
 
-    /// Takes out the call that starts next.
-    pub fn pop(&mut self) -> Option<QueuedCall> {
-        let chosen = self.next_class()?.clone();
+    /// Takes out the call that starts next, with the rank of its class.
+    pub fn pop(&mut self) -> Option<(QueuedCall, u32)> {
+        let chosen = self.next_class(u32::MAX)?.clone();
+        self.pop_of(chosen)
+    }
+
+    /// The same among the classes of better rank than this.
+    pub fn pop_better(&mut self, rank: u32) -> Option<(QueuedCall, u32)> {
+        let chosen = self.next_class(rank)?.clone();
+        self.pop_of(chosen)
+    }
+
+    fn pop_of(&mut self, chosen: ids::EntryName) -> Option<(QueuedCall, u32)> {
         let owner = self.classes[&chosen].next_owner()?.clone();
         let class = &mut self.classes[&chosen];
         let queue = &mut class.owners[&owner];
         let call = queue.waiting.pop_front()?;
         class.start(&owner, call.cost);
+        let rank = class.rank;
         self.give_credit(&chosen, f64::from(call.cost));
-        Some(call)
+        Some((call, rank))
     }
 
     /// Takes a call out.
@@ -265,11 +276,12 @@
     }
 
     /// The class whose call starts next: one that has its guarantee to come, or the first by rank;
-    /// among equal ranks the one whose call waits longest.
-    fn next_class(&self) -> Option<&ids::EntryName> {
+    /// among equal ranks the one whose call waits longest. Only ranks better than `than` count.
+    fn next_class(&self, than: u32) -> Option<&ids::EntryName> {
         let heads = self
             .classes
             .iter()
+            .filter(|(_, class)| class.rank < than)
             .filter_map(|(name, class)| Some((name, class, class.head()?)));
         heads
             .min_by_key(|(_, class, head)| {
--- a/crates/engine/src/timeline.rs
+++ b/crates/engine/src/timeline.rs
@@ -191,6 +191,10 @@
         method: String,
         /// Path without query.
         path: String,
+        /// Time that the caller leaves, in milliseconds.
+        deadline_left_ms: Option<u64>,
+        /// Version of the catalogue that it is served by.
+        version: ids::CatalogueVersion,
     },
     /// A call is offered to the node of a target.
     CallTried {
@@ -202,6 +206,10 @@
         target: ids::TargetName,
         /// Peers address of its node.
         node: SocketAddr,
+        /// Time left, in milliseconds.
+        deadline_left_ms: u32,
+        /// Longest wait there that is better than another target, in milliseconds.
+        patience_ms: u32,
     },
     /// A try ended without an answer.
     CallTryFailed {
@@ -229,6 +237,8 @@
         code: code::ResultCode,
         /// Whether it ran.
         outcome: calls::CallOutcome,
+        /// When the caller was told to come back, in milliseconds; 0 where it was not.
+        retry_after_ms: u32,
         /// Time since it came, in microseconds.
         took_us: u64,
     },
@@ -247,6 +257,14 @@
         request: ids::RequestId,
         /// Why.
         code: code::ResultCode,
+        /// The limit that did it, where one did.
+        limit: Option<String>,
+        /// Requests that ran at the target.
+        running: Option<u32>,
+        /// Requests that waited for it.
+        queued: Option<u32>,
+        /// Requests that it was given at once.
+        slots: Option<u32>,
     },
     /// An offered call runs at an own target.
     CallRun {
--- a/src/changes.rs
+++ b/src/changes.rs
@@ -80,6 +80,23 @@
         remove: set.remove,
         replace: None,
     };
+    send_request(session, options, request).await
+}
+
+/// Reads the revision in place; of label 0 where there is none.
+pub async fn revision(
+    session: &session::SessionOptions,
+) -> Result<change::CatalogueRevision, session::CommandError> {
+    let document = session.fetch("/v1/revision").await?;
+    serde_json::from_value(document).map_err(|error| session::unreadable(&error))
+}
+
+/// Sends a change request and prints the answer.
+pub async fn send_request(
+    session: &session::SessionOptions,
+    options: &ChangeOptions,
+    request: change::ChangeRequest,
+) -> Result<(), session::CommandError> {
     let body = serde_json::to_vec(&request).expect("entries have only text keys");
     let response = session.send(Method::POST, "/v1/changes", body).await;
     let response = response.map_err(|error| with_change_id(error, &request.change_id))?;
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -6,8 +6,10 @@
 mod control;
 mod demo;
 mod diff;
+mod explain;
 mod load;
 mod read;
+mod revision;
 mod stand_in;
 mod timeline;
 mod token;
@@ -52,6 +54,12 @@
     /// Example: hazeltiller diff --operators 127.0.0.1:7002 examples/register/catalogue.jsonc
     #[bpaf(command)]
     Diff(#[bpaf(external(diff::diff_command))] diff::DiffCommand),
+    /// Print the document that last replaced the whole catalogue
+    ///
+    ///
+    /// Example: hazeltiller revision --operators 127.0.0.1:7002
+    #[bpaf(command)]
+    Revision(#[bpaf(external(revision::revision_command))] revision::RevisionCommand),
     /// Print one entry
     ///
     ///
@@ -85,6 +93,12 @@
     /// Example: hazeltiller timeline --operators 127.0.0.1:7002 --version 12
     #[bpaf(command)]
     Timeline(#[bpaf(external(timeline::timeline_command))] timeline::TimelineCommand),
+    /// Print the course of one request, from logs, and why it ended as it did
+    ///
+    ///
+    /// Example: hazeltiller explain 9c41d07be2a35f68 node-1.log node-2.log
+    #[bpaf(command)]
+    Explain(#[bpaf(external(explain::explain_command))] explain::ExplainCommand),
     /// Show or change who votes in the control group
     ///
     ///
@@ -153,7 +167,9 @@
                     .await
             }
             Self::Convergence(command) => command.execute().await,
+            Self::Revision(command) => command.execute().await,
             Self::Timeline(command) => command.execute().await,
+            Self::Explain(command) => command.execute(),
             Self::Control(command) => command.execute().await,
             Self::StandIn(command) => command.execute().await,
             Self::Load(command) => command.execute().await,
--- a/src/commands/apply.rs
+++ b/src/commands/apply.rs
@@ -16,6 +16,12 @@
     session: session::SessionOptions,
     #[bpaf(external(changes::change_options))]
     options: changes::ChangeOptions,
+    /// Make the entries of the file the whole catalogue, as the revision of this label
+    #[bpaf(argument("LABEL"))]
+    replace: Option<ids::RevisionLabel>,
+    /// With --replace: label of the revision that it builds on; absent: the one in place
+    #[bpaf(argument("LABEL"))]
+    base: Option<ids::RevisionLabel>,
     /// Catalogue file, JSON with comments
     #[bpaf(positional("FILE"))]
     file: PathBuf,
@@ -45,7 +51,20 @@
 
     async fn apply(self) -> Result<(), session::CommandError> {
         let set = read_change(&self.file)?;
-        changes::send_change(&self.session, &self.options, set).await
+        let Some(label) = self.replace else {
+            return changes::send_change(&self.session, &self.options, set).await;
+        };
+        let base = match self.base {
+            Some(base) => base,
+            None => changes::revision(&self.session).await?.label,
+        };
+        let mark = change::ReplacementMark {
+            label,
+            base,
+            document: session::read_file(&self.file)?,
+        };
+        let request = change::ChangeRequest::replacing(mark, set.put);
+        changes::send_request(&self.session, &self.options, request).await
     }
 }
 
--- a/src/hazeltillerd.rs
+++ b/src/hazeltillerd.rs
@@ -122,5 +122,6 @@
     let stopping = timeline::TimelineEvent::ProcessStopping;
     running.context.timeline.note(stopping);
     drain::stop(&running.context).await;
+    logging::finish();
     ExitCode::SUCCESS
 }
