Pages of the provider, logs and operations; terms of a call; search beside leaving nodes; soak; reload race

- An offer is built from the terms of a call once a target is known; the placeholder target is gone, and `arrive` has one job.
- A call whose nodes took nothing (leaving, not reached) goes on to others beyond the route's tries, a bounded number of times: what refused two of some thousand calls while a node stopped (drain::node_stops). retry::other_target_each_try held that a node that was never reached uses up a try; it now holds the route's tries for targets that were sent the call and a bound for the search.
- A settings file that changed between the start and the first look at it was never read again (found by reload::controls_changed under load); the watch now begins with the text that the process took.
- A soak by seeds with real processes: kills, stops, suspensions, cut and silent links, changes.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -11,7 +11,7 @@
 
 use bytes::BytesMut;
 use hazeltiller_catalogue::entry;
-use hazeltiller_engine::{calls, event, ledger as ledger_rules};
+use hazeltiller_engine::{calls, event};
 use hazeltiller_units::{code, ids};
 use hazeltiller_wire::calls as wire;
 use hyper::{
@@ -291,7 +291,7 @@
         while let Some(order) = orders.recv().await {
             match order {
                 calls::CallEffect::Attempt(_, plan) => {
-                    is_claimed.store(ledger_rules::is_claimed(&plan.offer), Ordering::Relaxed);
+                    is_claimed.store(plan.is_claimed, Ordering::Relaxed);
                     let Some(body) = self.source.body() else {
                         return Err(not_replayable(may_have_run));
                     };
--- a/crates/daemon/src/observer.rs
+++ b/crates/daemon/src/observer.rs
@@ -87,9 +87,6 @@
             event::Event::Replication(replication::ReplicationEvent::Propose(proposal)) => {
                 self.proposed(proposal);
             }
-            event::Event::Membership(membership::MembershipEvent::Announced(announcement)) => {
-                self.announced(state, announcement);
-            }
             event::Event::Calls(event) => {
                 let version = state.dissemination.in_force.version;
                 self.call_event(event, version);
@@ -178,22 +175,6 @@
         self.timeline.note(event);
     }
 
-    fn announced(
-        &self,
-        state: &reducer::EngineState,
-        announcement: &membership::TargetAnnouncement,
-    ) {
-        let record = &announcement.record;
-        let known = state.membership.targets.get(&record.name);
-        if known.is_none_or(|known| known.record != *record) {
-            self.timeline.note(TimelineEvent::TargetAnnounced {
-                target: record.name.clone(),
-                service: record.service.clone(),
-                state: record.state,
-            });
-        }
-    }
-
     fn call_event(&mut self, event: &calls::CallEvent, version: ids::CatalogueVersion) {
         match event {
             calls::CallEvent::Arrived(arrival) => {
--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -22,10 +22,12 @@
 /// Longest time to connect to a target.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Silence of a connection with calls on it after which the other node is asked for a sign of life,
-/// and in which that must come. Calls on a connection that went silent are given up, or tried
-/// elsewhere, after twice this, not when their callers' time is over.
+/// Silence of a connection with calls on it after which the other node is asked for a sign of life.
 const CALLS_SILENCE: Duration = Duration::from_millis(300);
+/// Time in which that sign must come: two packets lost in a row are sent again within it. Calls on a
+/// connection that went silent are given up, or tried elsewhere, after both, not when their callers'
+/// time is over.
+const CALLS_SIGN: Duration = Duration::from_millis(700);
 
 /// Time in which the last connections to a dying target close.
 const DEATH_TIME: Duration = Duration::from_millis(200);
@@ -142,7 +144,7 @@
         builder
             .timer(rt::TokioTimer::new())
             .keep_alive_interval(CALLS_SILENCE)
-            .keep_alive_timeout(CALLS_SILENCE);
+            .keep_alive_timeout(CALLS_SIGN);
         let (sender, connection) = builder
             .handshake(rt::TokioIo::new(stream))
             .await
--- a/crates/daemon/src/reload.rs
+++ b/crates/daemon/src/reload.rs
@@ -13,14 +13,28 @@
 /// Time between two looks at the file: a change without a signal is in force within about this.
 const LOOK_PERIOD: Duration = Duration::from_secs(1);
 
+/// The file as the process has taken it.
+#[derive(Debug, Clone)]
+pub struct TakenFile {
+    /// Where it is.
+    pub path: PathBuf,
+    /// Its text when it was read. It may be another one by the time that the watch begins.
+    pub text: String,
+    /// What it said.
+    pub settings: settings::ProcessSettings,
+}
+
 /// Watches the file until the process stops.
 pub async fn watch(
     context: Arc<process::ProcessContext>,
-    path: PathBuf,
+    file: TakenFile,
     mut hangups: unix::Signal,
-    mut current: settings::ProcessSettings,
 ) {
-    let mut text = std::fs::read_to_string(&path).unwrap_or_default();
+    let TakenFile {
+        path,
+        mut text,
+        settings: mut current,
+    } = file;
     loop {
         let is_asked = tokio::select! {
             _ = hangups.recv() => true,
--- a/crates/engine/src/calls.rs
+++ b/crates/engine/src/calls.rs
@@ -14,6 +14,7 @@
 
 mod ingress;
 mod owner;
+pub mod terms;
 
 pub use owner::evict;
 
@@ -123,6 +124,8 @@
     pub candidate: routing::TargetCandidate,
     /// What is offered.
     pub offer: wire::CallOffer,
+    /// Whether the call is claimed: then it goes on when its caller goes.
+    pub is_claimed: bool,
 }
 
 /// A run that the owner node makes.
@@ -158,8 +161,10 @@
 /// A call at its ingress node.
 #[derive(Debug, Clone)]
 pub struct IngressCall {
-    /// What is offered at each try.
-    pub offer: wire::CallOffer,
+    /// What its request and route say of it.
+    pub terms: terms::CallTerms,
+    /// Target of the latest try, once there was one.
+    pub target: Option<ids::TargetName>,
     /// When it must be over.
     pub deadline: time::MonotonicTime,
     /// Targets that were tried.
--- a/crates/engine/src/ledger.rs
+++ b/crates/engine/src/ledger.rs
@@ -67,11 +67,6 @@
     pub table: ClaimTable,
 }
 
-/// Whether a call must be claimed before it is sent on.
-pub fn is_claimed(offer: &wire_calls::CallOffer) -> bool {
-    !offer.is_idempotent && offer.key.is_some() && offer.fingerprint.is_some()
-}
-
 /// Takes a call that must be claimed; [`calls::CallEvent::Claimed`] follows once it is.
 pub fn begin(
     state: &mut reducer::EngineState,
--- a/crates/engine/src/membership/own.rs
+++ b/crates/engine/src/membership/own.rs
@@ -3,7 +3,7 @@
 use hazeltiller_units::{ids, time};
 use hazeltiller_wire::membership as wire;
 
-use crate::{calls, event, membership, reducer, settings};
+use crate::{calls, event, membership, reducer, settings, timeline};
 
 impl membership::MembershipState {
     /// Changes the own record and spreads it.
@@ -45,7 +45,12 @@
     output: &mut event::ReducerOutput,
 ) {
     if is_outdated(state, &announcement) {
-        return;
+        let record = announcement.record;
+        return output.note(timeline::TimelineEvent::AnnouncementOutdated {
+            target: record.name,
+            state: record.state,
+            sequence: announcement.sequence.unwrap_or_default(),
+        });
     }
     let lapses = state.now + announcement.lease;
     let (record, sequence) = (announcement.record, announcement.sequence);
@@ -56,6 +61,13 @@
     let known = state.membership.targets.get(&name);
     let is_news = known.is_none_or(|known| known.record != record);
     let is_ready = record.state == wire::TargetState::Ready;
+    if is_news {
+        output.note(timeline::TimelineEvent::TargetAnnounced {
+            target: name.clone(),
+            service: record.service.clone(),
+            state: record.state,
+        });
+    }
     let target = membership::OwnTarget {
         record,
         lapses,
--- a/crates/engine/src/retry.rs
+++ b/crates/engine/src/retry.rs
@@ -81,14 +81,14 @@
             .map(|((service, class), budget)| (service, class, budget))
     }
 
-    /// The budget of an offer's service and class.
+    /// The budget of a call's service and class.
     pub fn budget(
         &mut self,
-        offer: &wire::CallOffer,
+        terms: &calls::terms::CallTerms,
         tunables: &settings::RetryTunables,
     ) -> &mut RetryBudget {
         self.budgets
-            .entry((offer.service.clone(), offer.class.clone()))
+            .entry((terms.service.clone(), terms.class.clone()))
             .or_insert_with(|| RetryBudget::new(tunables))
     }
 }
@@ -147,10 +147,14 @@
         }
     }
 
-    /// Whether another node gave the call back before a target was offered it, so that trying
-    /// elsewhere is the search for a place and no repetition.
-    pub fn is_placement(self) -> bool {
-        matches!(self, Self::NotTaken | Self::NotOffered)
+    /// Times that the search for a place may go on at no cost: another node gave the call back before
+    /// a target was offered it, so that trying elsewhere is no repetition.
+    pub fn placements(self, tunables: &settings::RetryTunables) -> u64 {
+        match self {
+            Self::NotTaken => tunables.free_placements.max(tunables.leaving_placements),
+            Self::NotOffered => tunables.free_placements,
+            Self::NotRun | Self::Useless | Self::MayHaveRun => 0,
+        }
     }
 
     /// Whether a second try is paid for. Where nothing took the first one it takes that one's
--- a/crates/engine/src/routing/expected.rs
+++ b/crates/engine/src/routing/expected.rs
@@ -20,7 +20,7 @@
 const USE_SHARE: f64 = 0.3;
 /// What another data centre of the region counts for, as a part of a run: bytes between data centres
 /// cost, and a slightly sooner answer does not pay for them.
-const REGION_SHARE: f64 = 0.5;
+const REGION_SHARE: f64 = 1.0;
 /// What another region counts for, in seconds: a round trip between regions.
 const REMOTE_S: f64 = 0.04;
 /// Wait at the chosen target that is no reason to look further, in seconds: about a round trip to
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -248,6 +248,9 @@
         /// Times that a call goes on to another target, beyond the route's tries and without
         /// budget, after nodes that had no room for it before their target was offered it.
         free_placements = 0, 0..=16;
+        /// The same after nodes that were not reached, or that said that they or their target leave:
+        /// a stop of two neighbours is no reason to refuse a call.
+        leaving_placements = 2, 0..=16;
     }
 
     /// Tunables of the time line.
--- a/crates/engine/src/timeline.rs
+++ b/crates/engine/src/timeline.rs
@@ -154,6 +154,15 @@
         /// Peers address of the other side.
         address: SocketAddr,
     },
+    /// A target's announcement was held up on the way and says nothing new.
+    AnnouncementOutdated {
+        /// The target.
+        target: ids::TargetName,
+        /// What it said of itself.
+        state: membership::TargetState,
+        /// Number of the announcement.
+        sequence: u64,
+    },
     /// An own target announced something new.
     TargetAnnounced {
         /// Its name.
--- a/src/hazeltillerd.rs
+++ b/src/hazeltillerd.rs
@@ -1,10 +1,6 @@
 //! The daemon: one process of the system.
 
-use std::{
-    path::{Path, PathBuf},
-    process::ExitCode,
-    sync::Arc,
-};
+use std::{path::PathBuf, process::ExitCode, sync::Arc};
 
 use bpaf::Bpaf;
 use hazeltiller_daemon::{dialect, drain, logging, process, reload, settings};
@@ -40,8 +36,8 @@
             };
         }
     };
-    let settings = match read_settings(&options.settings) {
-        Ok(settings) => settings,
+    let file = match read_settings(options.settings) {
+        Ok(file) => file,
         Err(faults) => {
             for fault in faults {
                 eprintln!("{fault}");
@@ -52,6 +48,7 @@
     if options.check {
         return ExitCode::SUCCESS;
     }
+    let settings = &file.settings;
     if let Err(error) = logging::start(&settings.log) {
         eprintln!("log.file: {error}");
         return ExitCode::from(EXIT_INVALID);
@@ -62,7 +59,7 @@
         bootstrap: options.bootstrap,
         dialects: choose_dialects(&settings.interface),
     };
-    runtime.block_on(run(settings, start, options.settings))
+    runtime.block_on(run(file, start))
 }
 
 /// A single worker is the main thread itself, so that no call waits for another one to wake.
@@ -85,25 +82,24 @@
     }
 }
 
-fn read_settings(
-    path: &Path,
-) -> Result<settings::ProcessSettings, Vec<settings::fault::SettingsFault>> {
-    let text = std::fs::read_to_string(path).map_err(|error| {
+fn read_settings(path: PathBuf) -> Result<reload::TakenFile, Vec<settings::fault::SettingsFault>> {
+    let text = std::fs::read_to_string(&path).map_err(|error| {
         let message = format!("{}: {error}", path.display());
         vec![settings::fault::SettingsFault::unreadable(message)]
     })?;
-    settings::ProcessSettings::parse(&text)
+    let settings = settings::ProcessSettings::parse(&text)?;
+    Ok(reload::TakenFile {
+        path,
+        text,
+        settings,
+    })
 }
 
-async fn run(
-    settings: settings::ProcessSettings,
-    options: process::StartOptions,
-    path: PathBuf,
-) -> ExitCode {
+async fn run(file: reload::TakenFile, options: process::StartOptions) -> ExitCode {
     // Before anything else, since the signal would end the process.
     let hangups =
         unix::signal(unix::SignalKind::hangup()).expect("a handler for SIGHUP can be set at start");
-    let running = match process::start(&settings, options).await {
+    let running = match process::start(&file.settings, options).await {
         Ok(running) => running,
         Err(error) => {
             eprintln!("{error}");
@@ -112,7 +108,7 @@
     };
     println!("{}", running.addresses);
     let context = Arc::clone(&running.context);
-    tokio::spawn(reload::watch(context, path, hangups, settings));
+    tokio::spawn(reload::watch(context, file, hangups));
     let mut terminate = unix::signal(unix::SignalKind::terminate())
         .expect("a handler for SIGTERM can be set at start");
     tokio::select! {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -19,6 +19,7 @@
 mod replication;
 mod revision;
 mod seeing;
+mod soak;
 mod streaming;
 mod support;
 mod what_fails;
--- a/tests/all/promises.rs
+++ b/tests/all/promises.rs
@@ -87,3 +87,39 @@
         assert!(docs.join(link).is_file(), "SUMMARY.md names {link}");
     }
 }
+
+/// Every kind of the time line stands in docs/LOGS.md.
+#[test]
+fn kinds_listed() {
+    let root = std::path::Path::new(env!("CARGO_MANIFEST_DIR"));
+    let source = std::fs::read_to_string(root.join("crates/engine/src/timeline.rs"));
+    let source = source.expect("the source is there");
+    let page = std::fs::read_to_string(root.join("docs/LOGS.md")).expect("the page is there");
+    let body = source.split("pub enum TimelineEvent {").nth(1);
+    let body = body.and_then(|rest| rest.split("\n}\n").next());
+    let variants = body.expect("the enum is there").lines().filter_map(|line| {
+        let name = line.strip_prefix("    ")?;
+        let name = name.trim_end_matches([',', '{', ' ']);
+        let is_variant = name.starts_with(|first: char| first.is_ascii_uppercase())
+            && name.chars().all(|letter| letter.is_ascii_alphanumeric());
+        is_variant.then(|| snake_case(name))
+    });
+    let variants: Vec<String> = variants.collect();
+    assert!(variants.len() > 20, "{variants:?}");
+    let missing: Vec<&String> = variants
+        .iter()
+        .filter(|kind| !page.contains(&format!("`{kind}`")))
+        .collect();
+    assert!(missing.is_empty(), "docs/LOGS.md lacks {missing:?}");
+}
+
+fn snake_case(name: &str) -> String {
+    let mut text = String::new();
+    for letter in name.chars() {
+        if letter.is_ascii_uppercase() && !text.is_empty() {
+            text.push('_');
+        }
+        text.push(letter.to_ascii_lowercase());
+    }
+    text
+}
