The last chunk of an answer is written once, whatever the bytes before it look like

Found on reading the diff: whether the last chunk had gone out was told by the bytes at the buffer's end, so a chunk that ends in CR LF and whose body ends with it was never finished, and one whose trailers were flushed would have been finished twice. Ruled out: bodies of known length, and bodies whose end is told after the last piece. pipelining::last_chunk_once failed before.

--- a/crates/daemon/src/http1/answer.rs
+++ b/crates/daemon/src/http1/answer.rs
@@ -125,6 +125,7 @@
         }
         write_framing(&mut parts.headers, &body, framing, closes);
         self.put_head(&parts);
+        let mut has_last_chunk = false;
         if framing != AnswerFraming::None {
             while let Some(frame) = body.frame().await {
                 let Ok(frame) = frame else {
@@ -132,14 +133,14 @@
                     self.flush().await;
                     return WriteEnd::Closed;
                 };
-                self.put_frame(frame, framing, form);
+                has_last_chunk |= self.put_frame(frame, framing, form);
                 let is_ended = body.is_end_stream();
                 if !is_ended && self.flush().await == WriteEnd::Closed {
                     return WriteEnd::Closed;
                 }
             }
         }
-        if framing == AnswerFraming::Chunked && !self.buffer.ends_with(b"\r\n\r\n") {
+        if framing == AnswerFraming::Chunked && !has_last_chunk {
             self.buffer.put_slice(b"0\r\n\r\n");
         }
         let end = self.flush().await;
@@ -167,12 +168,13 @@
         self.buffer.put_slice(b"\r\n");
     }
 
+    /// Puts a frame into the buffer; says whether the last chunk went with it.
     fn put_frame(
         &mut self,
         frame: hyper::body::Frame<bytes::Bytes>,
         framing: AnswerFraming,
         form: AnswerForm,
-    ) {
+    ) -> bool {
         let is_chunked = framing == AnswerFraming::Chunked;
         match frame.into_data() {
             Ok(data) if data.is_empty() => {}
@@ -193,9 +195,11 @@
                         self.put_line(name, value);
                     }
                     self.buffer.put_slice(b"\r\n");
+                    return true;
                 }
             }
         }
+        false
     }
 
     async fn flush(&mut self) -> WriteEnd {
--- a/tests/all/hygiene.rs
+++ b/tests/all/hygiene.rs
@@ -201,6 +201,28 @@
     }
 }
 
+/// Chunks whose last bytes look like the end of a head or of a body.
+#[tokio::test(flavor = "multi_thread")]
+async fn chunks_ended_once() {
+    let table = [
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\n\r\n\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n7\r\n0\r\n\r\nok\r\n0\r\n\r\n",
+    ];
+    for bytes in table {
+        let (mut fleet, _target) = raw_path(RawAnswer::Bytes(bytes)).await;
+        let callers = fleet.instance("node-1").addresses["callers"];
+        let request = format!("GET /vehicles/chunks HTTP/1.1\r\nhost: a\r\n{CLOSE}\r\n");
+        let answer = wait::until("an answer", || async {
+            let answer = raw::say(callers, &request).await;
+            answer.starts_with("HTTP/1.1 200").then_some(answer)
+        })
+        .await;
+        let sent = bytes.split_once("\r\n\r\n").expect("it has a head").1;
+        let got = answer.split_once("\r\n\r\n").expect("it has a head").1;
+        assert_eq!(got, sent);
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn pipelined_requests() {
     let (mut fleet, target) = raw_path(RawAnswer::Bytes(ANSWER)).await;
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -13,6 +13,7 @@
 mod once;
 mod pages;
 mod peers;
+mod pipelining;
 mod promises;
 mod raw;
 mod reload;
--- /dev/null
+++ b/tests/all/pipelining.rs
@@ -0,0 +1,108 @@
+//! The connection towards callers on its own: what is written for which body.
+
+use std::{
+    collections::VecDeque,
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use hazeltiller_daemon::{drain, http, http1};
+use http_body_util::BodyExt;
+use hyper::{
+    HeaderMap, Response,
+    body::{Body, Frame},
+};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+const BOUNDS: http1::ConnectionBounds = http1::ConnectionBounds {
+    head_bytes: 8192,
+    head_lines: 64,
+    head_time: Duration::from_secs(30),
+    idle_time: Duration::from_secs(30),
+};
+
+/// A body whose end is known with its last frame, but not its length.
+#[derive(Clone)]
+struct KnownFrames(VecDeque<Result<Bytes, HeaderMap>>);
+
+impl Body for KnownFrames {
+    type Data = Bytes;
+    type Error = http::BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        let frame = self.0.pop_front().map(|frame| match frame {
+            Ok(data) => Frame::data(data),
+            Err(trailers) => Frame::trailers(trailers),
+        });
+        Poll::Ready(frame.map(Ok))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.0.is_empty()
+    }
+}
+
+struct FixedAnswer(KnownFrames);
+
+impl http1::CallService for FixedAnswer {
+    async fn serve(&self, _request: http1::CallRequest) -> http1::CallResponse {
+        Response::new(self.0.clone().boxed_unsync())
+    }
+}
+
+/// What a caller that takes trailers reads after the head of the answer.
+async fn written(frames: &[Result<&'static str, HeaderMap>]) -> String {
+    let frames = frames.iter().map(|frame| match frame {
+        Ok(text) => Ok(Bytes::from_static(text.as_bytes())),
+        Err(trailers) => Err(trailers.clone()),
+    });
+    let service = Arc::new(FixedAnswer(KnownFrames(frames.collect())));
+    let (mut caller, node) = tokio::io::duplex(65_536);
+    let (reader, writer) = tokio::io::split(node);
+    let request = "GET / HTTP/1.1\r\nhost: a\r\nte: trailers\r\nconnection: close\r\n\r\n";
+    let sent = caller.write_all(request.as_bytes()).await;
+    sent.expect("the node takes it");
+    http1::serve(
+        reader,
+        writer,
+        BOUNDS,
+        service,
+        drain::DrainState::default(),
+    )
+    .await;
+    let mut text = String::new();
+    let read = caller.read_to_string(&mut text).await;
+    read.expect("the answer is text");
+    let (_, body) = text.split_once("\r\n\r\n").expect("it has a head");
+    body.into()
+}
+
+/// The last chunk is written once, whatever the bytes before it look like.
+#[tokio::test]
+async fn last_chunk_once() {
+    let mut trailers = HeaderMap::new();
+    trailers.insert("x-sum", "7".parse().expect("it is a header's value"));
+    let table = [
+        (vec![Ok("ok")], "2\r\nok\r\n0\r\n\r\n"),
+        (vec![Ok("a\r\n")], "3\r\na\r\n\r\n0\r\n\r\n"),
+        (vec![Ok("0\r\n\r\n")], "5\r\n0\r\n\r\n\r\n0\r\n\r\n"),
+        (
+            vec![Ok("\r\n"), Ok("\r\n")],
+            "2\r\n\r\n\r\n2\r\n\r\n\r\n0\r\n\r\n",
+        ),
+        (vec![], "0\r\n\r\n"),
+        (
+            vec![Ok("ok"), Err(trailers)],
+            "2\r\nok\r\n0\r\nx-sum: 7\r\n\r\n",
+        ),
+    ];
+    for (frames, expected) in table {
+        assert_eq!(written(&frames).await, expected);
+    }
+}
