--- a/crates/daemon/src/targets.rs
+++ b/crates/daemon/src/targets.rs
@@ -5,7 +5,7 @@
 use hazeltiller_engine::{event, membership, settings};
 use hazeltiller_units::code;
 use http_body_util::{BodyExt, Limited};
-use hyper::{Request, Response, body::Incoming, server::conn::http1, service};
+use hyper::{Request, Response, StatusCode, body::Incoming, server::conn::http1, service};
 use hyper_util::rt;
 use tokio::net::TcpListener;
 
@@ -40,14 +40,11 @@
 ) -> Response<http::StreamBody> {
     let dialect = &context.dialects.targets;
     let (parts, body) = request.into_parts();
-    let read = match Limited::new(body, LARGEST_ANNOUNCEMENT).collect().await {
-        Ok(body) => dialect.read(&parts.method, parts.uri.path(), &body.to_bytes()),
-        Err(error) => Err(dialect::WishFault {
-            code: code::ResultCode::RequestMalformed,
-            message: error.to_string(),
-            is_unknown: false,
-        }),
+    let body = match Limited::new(body, LARGEST_ANNOUNCEMENT).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => return unreadable(dialect.as_ref(), error.to_string()),
     };
+    let read = dialect.read(&parts.method, parts.uri.path(), &body);
     match read {
         Ok(wish) => {
             take(context, wish);
@@ -60,6 +57,19 @@
     }
 }
 
+/// The answer to a message whose body broke off or is too large: it was not even looked at.
+fn unreadable(dialect: &dyn dialect::TargetDialect, message: String) -> Response<http::StreamBody> {
+    let fault = dialect::WishFault {
+        code: code::ResultCode::RequestMalformed,
+        message,
+        is_unknown: false,
+    };
+    log::warn!("{}: announcement not read: {}", fault.code, fault.message);
+    let mut response = dialect.refuse(&fault);
+    *response.status_mut() = StatusCode::BAD_REQUEST;
+    response
+}
+
 fn take(context: &process::ProcessContext, wish: dialect::TargetWish) {
     let event = match wish {
         dialect::TargetWish::Announce(mut announcement) => {
--- a/tests/all/hygiene.rs
+++ b/tests/all/hygiene.rs
@@ -201,6 +201,18 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn large_announcement() {
+    let mut fleet = support::small_fleet().await;
+    let node = fleet.instance("node-1").addresses["target"];
+    let body = "x".repeat(5000);
+    let request = format!(
+        "POST /v1/announce HTTP/1.1\r\nhost: a\r\n{CLOSE}content-length: 5000\r\n\r\n{body}"
+    );
+    let answer = raw::say(node, &request).await;
+    assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
+}
+
 /// Chunks whose last bytes look like the end of a head or of a body.
 #[tokio::test(flavor = "multi_thread")]
 async fn chunks_ended_once() {
--- a/tests/all/reload.rs
+++ b/tests/all/reload.rs
@@ -7,9 +7,8 @@
 
 use crate::support;
 
-async fn readiness(fleet: &fleet::Fleet, address: std::net::SocketAddr) -> Option<StatusCode> {
+async fn readiness(address: std::net::SocketAddr) -> Option<StatusCode> {
     let request = Request::get("/any/path").body(Full::default()).ok()?;
-    let _ = fleet;
     let answer = hazeltiller_standin::client::exchange(address, request).await;
     answer.ok().map(|answer| answer.status())
 }
@@ -38,7 +37,7 @@
     settings["listen"]["ready"] = json!(address);
     settings["tunables"]["requests"]["leave_ms"] = json!(60_000);
     fleet.start(&["node-1"], &[]).await;
-    let before = readiness(&fleet, address).await;
+    let before = readiness(address).await;
     assert_eq!(
         before,
         Some(StatusCode::SERVICE_UNAVAILABLE),
@@ -46,10 +45,10 @@
     );
     fleet.start(&["control-1"], &["--bootstrap"]).await;
     support::accept_first(&fleet).await;
-    assert_eq!(readiness(&fleet, address).await, Some(StatusCode::OK));
+    assert_eq!(readiness(address).await, Some(StatusCode::OK));
     signal(&fleet, "node-1", "-TERM");
     wait::until("a node that leaves", || async {
-        let status = readiness(&fleet, address).await?;
+        let status = readiness(address).await?;
         (status == StatusCode::SERVICE_UNAVAILABLE).then_some(())
     })
     .await;
