--- a/benches/balancing.rs
+++ b/benches/balancing.rs
@@ -137,7 +137,14 @@
         node.call(calls::CallEvent::Arrived(node::arrival(number, &path)));
         let result = calls::AttemptResult::Answered { status: 200 };
         let load = None;
-        node.call(calls::CallEvent::AttemptEnded { call, result, load });
+        node.call(calls::CallEvent::AttemptEnded {
+            call,
+            result,
+            report: calls::AttemptReport {
+                load,
+                ..calls::AttemptReport::default()
+            },
+        });
         node.call(calls::CallEvent::Finished(call));
     }
     let ingress = began.elapsed();
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -209,7 +209,10 @@
     head::name_host(&mut parts);
     http::strip_hop_headers(&mut parts.headers);
     http::strip_internal_headers(&mut parts.headers);
-    trace::label(&mut parts.headers, &id);
+    let named = context.dialects.calls.read_head(&parts.headers);
+    if named.map_or(true, |head| head.request.as_ref() != Some(&id)) {
+        trace::label(&mut parts.headers, &id);
+    }
     let bound = context.requests.replay_bytes;
     let length = body.size_hint().exact();
     let source = replay::BodySource::new(body, bound as usize);
@@ -288,6 +291,7 @@
         };
         let mut answer = None;
         let mut may_have_run = false;
+        let sent_bytes = self.source.kept_bytes();
         while let Some(order) = orders.recv().await {
             match order {
                 calls::CallEffect::Attempt(_, plan) => {
@@ -295,11 +299,12 @@
                     let Some(body) = self.source.body() else {
                         return Err(not_replayable(may_have_run));
                     };
-                    let (attempt, load) =
+                    let (attempt, mut report) =
                         attempt::attempt(context, &plan, self.parts.clone(), body).await;
                     if attempt.is_err() && self.source.is_broken() {
                         return Err(broken_request());
                     }
+                    report.bytes += sent_bytes;
                     let result = match attempt {
                         Ok(response) => {
                             let status = response.status().as_u16();
@@ -309,7 +314,11 @@
                         Err(result) => result,
                     };
                     may_have_run |= leaves_doubt(&result);
-                    let ended = calls::CallEvent::AttemptEnded { call, result, load };
+                    let ended = calls::CallEvent::AttemptEnded {
+                        call,
+                        result,
+                        report,
+                    };
                     context.engine.tell(event::Event::Calls(ended));
                 }
                 calls::CallEffect::Pass(_) => {
--- a/crates/daemon/src/callers/attempt.rs
+++ b/crates/daemon/src/callers/attempt.rs
@@ -4,8 +4,8 @@
 
 use hazeltiller_engine::calls;
 use hazeltiller_units::code;
-use hazeltiller_wire::{calls as wire, codec};
-use hyper::{Request, Response, Uri};
+use hazeltiller_wire::calls as wire;
+use hyper::{Request, Response, Uri, body::Body};
 use tokio::time;
 
 use crate::{http, owner, pool, process, trace};
@@ -22,7 +22,7 @@
     plan: &calls::AttemptPlan,
     parts: hyper::http::request::Parts,
     body: http::StreamBody,
-) -> (AttemptAnswer, Option<wire::LoadReport>) {
+) -> (AttemptAnswer, calls::AttemptReport) {
     let mut request = Request::from_parts(parts, body);
     let own = plan.candidate.address == context.credentials.identity.address;
     let left = Duration::from_millis(u64::from(plan.offer.deadline_left_ms));
@@ -38,18 +38,28 @@
                 response.map(http::stream_body)
             }
             Ok(Err(pool::SendError::NotConnected { .. })) => {
-                return (Err(calls::AttemptResult::NotReached), None);
+                return without_report(calls::AttemptResult::NotReached);
             }
             Ok(Err(pool::SendError::Broken { .. })) => {
-                return (Err(calls::AttemptResult::Lost), None);
+                return without_report(calls::AttemptResult::Lost);
             }
             Err(_elapsed) => {
                 let refusal = wire::CallRefusal::unknown(code::ResultCode::DeadlineExceeded);
-                return (Err(calls::AttemptResult::Refused(refusal)), None);
+                return without_report(calls::AttemptResult::Refused(refusal));
             }
         }
     };
-    read_answer(response)
+    let (mut answer, report) = read_answer(response);
+    if let Ok(response) = &mut answer {
+        let target = plan.offer.target.as_str().parse();
+        let target = target.expect("a name is a header's value");
+        response.headers_mut().insert(wire::TARGET_HEADER, target);
+    }
+    (answer, report)
+}
+
+fn without_report(result: calls::AttemptResult) -> (AttemptAnswer, calls::AttemptReport) {
+    (Err(result), calls::AttemptReport::default())
 }
 
 fn prepare(request: &mut Request<http::StreamBody>, to: SocketAddr, offer: &wire::CallOffer) {
@@ -61,28 +71,22 @@
         .build()
         .expect("an address and a checked path make a URI");
     *request.version_mut() = hyper::Version::HTTP_2;
-    let offer = codec::encode_header(offer)
-        .parse()
-        .expect("hexadecimal is a header's value");
-    request.headers_mut().insert(wire::OFFER_HEADER, offer);
+    let (terms, attempt) = offer.clone().split();
+    let headers = request.headers_mut();
+    headers.insert(wire::TERMS_HEADER, http::record_value(&terms));
+    headers.insert(wire::OFFER_HEADER, http::passing_value(&attempt));
 }
 
-/// Tells a refusal of the owner node from an answer of its target, and takes the load off it.
-fn read_answer(
-    mut response: Response<http::StreamBody>,
-) -> (AttemptAnswer, Option<wire::LoadReport>) {
+/// Tells a refusal of the owner node from an answer of its target, and takes what the owner node says
+/// of loads off it.
+fn read_answer(mut response: Response<http::StreamBody>) -> (AttemptAnswer, calls::AttemptReport) {
+    let bytes = response.body().size_hint().lower();
     let headers = response.headers_mut();
-    let text = |value: hyper::header::HeaderValue| value.to_str().ok().map(String::from);
-    let load = headers
-        .remove(wire::LOAD_HEADER)
-        .and_then(text)
-        .and_then(|text| codec::decode_header(&text).ok());
-    let refusal = headers
-        .remove(wire::OFFER_HEADER)
-        .and_then(text)
-        .and_then(|text| codec::decode_header::<wire::CallRefusal>(&text).ok());
+    let load = http::take_record(headers, wire::LOAD_HEADER);
+    let refusal: Option<wire::CallRefusal> = http::take_record(headers, wire::REFUSAL_HEADER);
+    let report = calls::AttemptReport { load, bytes };
     match refusal {
-        Some(refusal) => (Err(calls::AttemptResult::Refused(refusal)), load),
-        None => (Ok(response), load),
+        Some(refusal) => (Err(calls::AttemptResult::Refused(refusal)), report),
+        None => (Ok(response), report),
     }
 }
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -3,10 +3,10 @@
 use bytes::Bytes;
 use futures_util::stream;
 use hazeltiller_units::code;
-use hazeltiller_wire::calls as wire;
+use hazeltiller_wire::{calls as wire, codec};
 use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
 use hyper::{Response, StatusCode, header};
-use serde::Serialize;
+use serde::{Serialize, de::DeserializeOwned};
 
 /// Error of a body that broke off.
 pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
@@ -149,7 +149,7 @@
 pub fn strip_internal_headers(headers: &mut hyper::HeaderMap) {
     let internal: Vec<header::HeaderName> = headers
         .keys()
-        .filter(|name| name.as_str().starts_with(wire::HEADER_PREFIX))
+        .filter(|name| is_internal(name.as_str()))
         .cloned()
         .collect();
     for name in internal {
@@ -157,6 +157,30 @@
     }
 }
 
+fn is_internal(name: &str) -> bool {
+    name.starts_with(wire::HEADER_PREFIX) || name.starts_with(wire::LINK_PREFIX)
+}
+
+/// A record as a header's value.
+pub fn record_value<T: Serialize>(record: &T) -> header::HeaderValue {
+    let text = codec::encode_header(record);
+    text.parse().expect("base64 is a header's value")
+}
+
+/// A record that is never the same twice as a header's value: the header compression of a connection
+/// does not keep it, for it would only push out what repeats.
+pub fn passing_value<T: Serialize>(record: &T) -> header::HeaderValue {
+    let mut value = record_value(record);
+    value.set_sensitive(true);
+    value
+}
+
+/// Takes the record of a header; `None` where there is none that can be read.
+pub fn take_record<T: DeserializeOwned>(headers: &mut hyper::HeaderMap, name: &str) -> Option<T> {
+    let value = headers.remove(name)?;
+    codec::decode_header(value.to_str().ok()?).ok()
+}
+
 fn list_items<'a>(
     headers: &'a hyper::HeaderMap,
     name: &header::HeaderName,
--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -10,10 +10,10 @@
 use bytes::Bytes;
 use hazeltiller_engine::{calls, event, quarantine};
 use hazeltiller_units::{code, ids};
-use hazeltiller_wire::{calls as wire, codec, ledger, quarantine as wire_quarantine};
+use hazeltiller_wire::{calls as wire, ledger, quarantine as wire_quarantine};
 use http_body_util::BodyExt;
 use hyper::{
-    Request, Response, StatusCode,
+    HeaderMap, Request, Response, StatusCode,
     body::{Body, Frame, Incoming, SizeHint},
     client::conn::http1,
 };
@@ -34,11 +34,12 @@
     context: Arc<process::ProcessContext>,
     mut request: Request<Incoming>,
 ) -> Response<http::StreamBody> {
-    let offer = request
-        .headers_mut()
-        .remove(wire::OFFER_HEADER)
-        .and_then(|value| value.to_str().ok().map(String::from))
-        .and_then(|text| codec::decode_header::<wire::CallOffer>(&text).ok());
+    let headers = request.headers_mut();
+    let terms = http::take_record(headers, wire::TERMS_HEADER);
+    let attempt = http::take_record(headers, wire::OFFER_HEADER);
+    let offer = terms
+        .zip(attempt)
+        .map(|(terms, attempt)| wire::CallOffer::join(terms, attempt));
     trace::take_clock(&context.clock, request.headers_mut());
     let Some(offer) = offer else {
         return refused(&not_run(code::ResultCode::MessageInvalid));
@@ -56,7 +57,7 @@
     request: Request<http::StreamBody>,
 ) -> Response<http::StreamBody> {
     let call = context.next_call();
-    let id = trace::read(request.headers()).unwrap_or_else(|| context.request_ids.new_id());
+    let id = request_id(&context, request.headers());
     let order = dialect::TargetOrder {
         target: offer.target.clone(),
         request: id.clone(),
@@ -91,6 +92,13 @@
     }
 }
 
+/// Id of a request that another node sent: the system's own header, or where the caller named it.
+fn request_id(context: &process::ProcessContext, headers: &HeaderMap) -> ids::RequestId {
+    let named = || context.dialects.calls.read_head(headers).ok()?.request;
+    let id = trace::read(headers).or_else(named);
+    id.unwrap_or_else(|| context.request_ids.new_id())
+}
+
 /// Tells the reducer how a run ended, also when its task is dropped.
 struct RunGuard {
     context: Arc<process::ProcessContext>,
@@ -289,16 +297,8 @@
     }
     http::strip_hop_headers(&mut parts.headers);
     http::strip_internal_headers(&mut parts.headers);
-    let load = codec::encode_header(&plan.load)
-        .parse()
-        .expect("hexadecimal is a header's value");
+    let load = http::passing_value(&plan.load);
     parts.headers.insert(wire::LOAD_HEADER, load);
-    let target = plan
-        .target
-        .to_string()
-        .parse()
-        .expect("a name is a header's value");
-    parts.headers.insert(wire::TARGET_HEADER, target);
     let body = AnswerBody {
         body,
         status: parts.status,
@@ -426,9 +426,7 @@
 fn refused(refusal: &wire::CallRefusal) -> Response<http::StreamBody> {
     let mut response = Response::new(http::full_body(""));
     *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-    let text = codec::encode_header(refusal)
-        .parse()
-        .expect("hexadecimal is a header's value");
-    response.headers_mut().insert(wire::OFFER_HEADER, text);
+    let text = http::passing_value(refusal);
+    response.headers_mut().insert(wire::REFUSAL_HEADER, text);
     response
 }
--- a/crates/daemon/src/replay.rs
+++ b/crates/daemon/src/replay.rs
@@ -73,6 +73,11 @@
         self.state().kept.clone()
     }
 
+    /// Bytes that have been read of it so far and are kept.
+    pub fn kept_bytes(&self) -> u64 {
+        self.state().kept_bytes as u64
+    }
+
     /// Whether the caller's side broke off or sent what is no body.
     pub fn is_broken(&self) -> bool {
         self.state().is_broken
--- a/crates/daemon/src/trace.rs
+++ b/crates/daemon/src/trace.rs
@@ -3,10 +3,10 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use hazeltiller_units::ids;
-use hazeltiller_wire::{calls as wire, codec};
+use hazeltiller_wire::calls as wire;
 use hyper::{HeaderMap, header};
 
-use crate::timeline;
+use crate::{http, timeline};
 
 /// Gives ids to requests that come without one.
 ///
@@ -60,17 +60,13 @@
 
 /// Puts the time into the headers of what is sent to another node.
 pub fn send_clock(clock: &timeline::HybridClock, headers: &mut HeaderMap) {
-    let text = codec::encode_header(&clock.tick());
-    let value = text.parse().expect("hexadecimal is a header's value");
+    let value = http::passing_value(&clock.tick());
     headers.insert(wire::CLOCK_HEADER, value);
 }
 
 /// Takes the time off the headers of what came from another node.
 pub fn take_clock(clock: &timeline::HybridClock, headers: &mut HeaderMap) {
-    let sent = headers
-        .remove(wire::CLOCK_HEADER)
-        .and_then(|value| value.to_str().ok().map(String::from))
-        .and_then(|text| codec::decode_header(&text).ok());
+    let sent = http::take_record(headers, wire::CLOCK_HEADER);
     if let Some(sent) = sent {
         clock.merge(sent);
     }
--- a/crates/engine/src/admission.rs
+++ b/crates/engine/src/admission.rs
@@ -228,6 +228,14 @@
     }
 }
 
+/// Requests of an own target that run or wait.
+pub fn in_use(state: &reducer::EngineState, target: &ids::TargetName) -> u32 {
+    let admission = state.admission.targets.get(target);
+    admission.map_or(0, |admission| {
+        admission.running + admission.queue.len() as u32
+    })
+}
+
 /// Slots of an own target that are used.
 pub fn slots(state: &reducer::EngineState, target: &ids::TargetName) -> u32 {
     let announced = announced_slots(state, target);
@@ -258,6 +266,7 @@
     let share = share(state, offer);
     let useful = urgency::useful_time(state, offer);
     let is_last = urgency::is_bounded(state, offer);
+    let is_overdue = urgency::is_overdue(state, offer);
     let now = state.now;
     let admission = state
         .admission
@@ -271,6 +280,7 @@
         admission.queue.charge(&share, offer.cost);
         return AdmissionAnswer::Run;
     }
+    let is_anyone_waiting = !admission.queue.is_empty();
     let wait = admission.pace.time_for(
         admission.queue.cost_ahead(&share) + f64::from(offer.cost),
         slots,
@@ -280,7 +290,7 @@
     if wait + run > left {
         return AdmissionAnswer::Refuse(refuse_unreachable(state, offer, wait));
     }
-    let is_late = wait + run > useful;
+    let is_late = wait + run > useful || is_overdue && is_anyone_waiting;
     if is_late || wait > Duration::from_millis(u64::from(offer.patience_ms)) {
         // Room is there once those ahead are so few that a run would end in time.
         let excess = (wait + run).saturating_sub(useful);
@@ -296,6 +306,12 @@
         );
         return AdmissionAnswer::Refuse(refuse_capacity(state, offer, limit));
     }
+    // One that is overdue gets the next slot or none.
+    let longest = if is_overdue {
+        longest.min(run)
+    } else {
+        longest
+    };
     let queued = queue::QueuedCall {
         call,
         cost: offer.cost,
--- a/crates/engine/src/calls.rs
+++ b/crates/engine/src/calls.rs
@@ -15,6 +15,7 @@
 mod ingress;
 mod owner;
 pub mod terms;
+pub mod usual;
 
 pub use owner::evict;
 
@@ -57,6 +58,15 @@
     Lost,
 }
 
+/// What came with the end of a try.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct AttemptReport {
+    /// What the owner node said of its target.
+    pub load: Option<wire::LoadReport>,
+    /// Bytes of the request's body and of its answer's, where they are known.
+    pub bytes: u64,
+}
+
 /// How a run ended at the owner node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RunResult {
@@ -94,8 +104,8 @@
         call: ids::CallId,
         /// How.
         result: AttemptResult,
-        /// What the owner node said of its target.
-        load: Option<wire::LoadReport>,
+        /// What came with it.
+        report: AttemptReport,
     },
     /// The claim on a keyed call is this node's: it may be sent.
     Claimed(ids::CallId),
@@ -184,6 +194,8 @@
     pub may_have_run: bool,
     /// Whether its try is counted at its target.
     pub is_outstanding: bool,
+    /// When its latest try began.
+    pub tried_at: time::MonotonicTime,
 }
 
 /// A call at its owner node.
@@ -204,6 +216,8 @@
     pub ingress: IndexMap<ids::CallId, IngressCall>,
     /// As owner node.
     pub owner: IndexMap<ids::CallId, OwnerCall>,
+    /// How long callers usually wait.
+    pub usual: usual::UsualTimes,
 }
 
 /// Takes the passing of time.
@@ -215,9 +229,11 @@
 pub fn take(state: &mut reducer::EngineState, event: CallEvent, output: &mut event::ReducerOutput) {
     match event {
         CallEvent::Arrived(arrival) => ingress::arrive(state, arrival, output),
-        CallEvent::AttemptEnded { call, result, load } => {
-            ingress::end_attempt(state, call, result, load, output);
-        }
+        CallEvent::AttemptEnded {
+            call,
+            result,
+            report,
+        } => ingress::end_attempt(state, call, result, report, output),
         CallEvent::Claimed(call) => ingress::begin(state, call, output),
         CallEvent::Finished(call) => {
             ledger::end_call(state, call, output);
--- a/crates/engine/src/calls/ingress.rs
+++ b/crates/engine/src/calls/ingress.rs
@@ -54,7 +54,11 @@
     let route = routes.find(&catalogue, host, &arrival.path, &arrival.method);
     let route = route.ok_or(code::ResultCode::RouteNotFound)?;
     let service = state.routing.splits.choose(route, &mut state.random);
-    let times = terms::CallTimes::new(route, arrival.deadline_left, state.now);
+    let told = arrival.deadline_left;
+    let spent = told.map_or(Duration::ZERO, |left| {
+        state.calls.usual.spent(&route.name, left)
+    });
+    let times = terms::CallTimes::new(route, told, spent, state.now);
     Ok(calls::IngressCall {
         terms: terms::CallTerms::new(&catalogue, route, service, arrival),
         target: None,
@@ -67,6 +71,7 @@
         arrived_attempt: arrival.attempt.max(1),
         may_have_run: false,
         is_outstanding: false,
+        tried_at: state.now,
     })
 }
 
@@ -92,11 +97,13 @@
         return false;
     };
     let (service, tried) = (record.terms.service.clone(), record.tried.clone());
+    let route = record.terms.route.clone();
     let request = routing::ChoiceRequest {
         service: &service,
         spill: record.spill,
         tried: &tried,
         prefers_away,
+        route: &route,
     };
     let Some(candidate) = routing::choose(state, &request) else {
         return false;
@@ -110,40 +117,62 @@
     let record = record.expect("it was just found");
     let tries = record.tried.len() as u32;
     record.is_outstanding = true;
+    record.tried_at = now;
     record.tried.push(candidate.target.clone());
     record.target = Some(candidate.target.clone());
     let has_places_left = record.placements < most_placements;
     let times = terms::TryTimes {
         attempt: record.arrived_attempt + tries,
         deadline_left: record.deadline.since(now),
-        latency_left: record.latency_until.since(now),
+        latency_left: reachable(record.latency_until.since(now), candidate.expected),
         patience: candidate.patience.filter(|_| has_places_left),
     };
     let offer = record.terms.offer(candidate.target.clone(), times);
+    let is_claimed = record.terms.is_claimed();
     let plan = calls::AttemptPlan {
         candidate,
         offer,
-        is_claimed: record.terms.is_claimed(),
+        is_claimed,
     };
     let effect = calls::CallEffect::Attempt(call, plan);
     output.effects.push(event::Effect::Calls(effect));
     true
 }
 
+/// What is left of the target latency, or nothing where not even the best target is expected to answer
+/// within it.
+fn reachable(left: Duration, expected: Option<Duration>) -> Duration {
+    if expected.is_some_and(|expected| expected > left) {
+        Duration::ZERO
+    } else {
+        left
+    }
+}
+
 /// Takes how a try ended: passes the answer on, refuses, or tries again.
 pub fn end_attempt(
     state: &mut reducer::EngineState,
     call: ids::CallId,
     result: calls::AttemptResult,
-    load: Option<wire::LoadReport>,
+    report: calls::AttemptReport,
     output: &mut event::ReducerOutput,
 ) {
     let Some(record) = state.calls.ingress.get(&call) else {
         return;
     };
     let (terms, target) = (record.terms.clone(), record.target.clone());
+    let is_own = target
+        .as_ref()
+        .is_some_and(|target| state.membership.targets.contains_key(target));
+    if !is_own && is_given_back(&result) {
+        let took = state.now.since(record.tried_at);
+        state.routing.offer_cost.note(took);
+    }
     if let Some(target) = target {
-        learn(state, &target, &result, load);
+        learn(state, &terms.service, &target, &result, report.load);
+    }
+    if report.bytes > 0 {
+        state.routing.sizes.note(&terms.route, report.bytes);
     }
     let Some(proof) = retry::FailureProof::of(&result) else {
         earn(state, &terms, &result);
@@ -214,6 +243,7 @@
 /// Takes what the end of a try says of the target.
 fn learn(
     state: &mut reducer::EngineState,
+    service: &ids::EntryName,
     target: &ids::TargetName,
     result: &calls::AttemptResult,
     load: Option<wire::LoadReport>,
@@ -221,16 +251,16 @@
     let now = state.now;
     let tunables = &state.settings.tunables.health;
     let first = settings::millis(tunables.ejection_ms);
-    let Some(view) = state.routing.views.get_mut(target) else {
-        return;
-    };
     let load = match result {
         calls::AttemptResult::Refused(refusal) => refusal.load.or(load),
         _ => load,
     };
     if let Some(load) = load {
-        view.take_report(load, now);
+        state.routing.take_report(service, target, load, now);
     }
+    let Some(view) = state.routing.views.get_mut(target) else {
+        return;
+    };
     let is_failing = load.is_some_and(|load| load.is_failing);
     match result {
         _ if is_failing => view.health.eject(now, first),
@@ -254,6 +284,16 @@
     }
 }
 
+/// Whether the target's node gave an offer back at once because a wait there would be too long.
+fn is_given_back(result: &calls::AttemptResult) -> bool {
+    match result {
+        calls::AttemptResult::Refused(refusal) => {
+            refusal.code == code::ResultCode::LatencyUnreachable
+        }
+        _ => false,
+    }
+}
+
 /// Whether the owner is over its rate at this target's node; a node elsewhere may have some left.
 fn is_over_rate(result: &calls::AttemptResult) -> bool {
     match result {
--- a/crates/engine/src/calls/terms.rs
+++ b/crates/engine/src/calls/terms.rs
@@ -110,16 +110,19 @@
 }
 
 impl CallTimes {
-    /// The times of a call that came now: the shorter of the route's and the caller's holds.
+    /// The times of a call that came now: the shorter of the route's and the caller's holds. What its
+    /// caller has `spent` on earlier sends is no longer left of the target latency.
     pub fn new(
         route: &entry::RouteEntry,
         left: Option<Duration>,
+        spent: Duration,
         now: time::MonotonicTime,
     ) -> Self {
         let longest = Duration::from_millis(u64::from(route.limits.deadline_ms));
         let left = left.map_or(longest, |left| left.min(longest));
         let latency = route.target_latency_ms.map_or(left, |latency| {
-            Duration::from_millis(u64::from(latency)).min(left)
+            let latency = Duration::from_millis(u64::from(latency));
+            latency.saturating_sub(spent).min(left)
         });
         Self {
             deadline: now + left,
--- a/crates/engine/src/routing.rs
+++ b/crates/engine/src/routing.rs
@@ -16,8 +16,11 @@
 
 mod expected;
 pub mod index;
+pub mod offer;
+pub mod size;
 pub mod split;
 pub mod table;
+pub mod typical;
 mod view;
 
 pub use view::TargetView;
@@ -38,6 +41,8 @@
     pub address: SocketAddr,
     /// Longest wait for which no other target is better; absent: any.
     pub patience: Option<Duration>,
+    /// Time of a run there, where it was compared by that and has shown one.
+    pub expected: Option<Duration>,
 }
 
 /// A choice among a service's targets.
@@ -46,6 +51,8 @@
     /// Place in the service's list.
     place: usize,
     patience: Option<Duration>,
+    /// Shortest time of a run among those compared.
+    expected: Option<Duration>,
 }
 
 impl TargetChoice {
@@ -54,6 +61,7 @@
         Self {
             place,
             patience: None,
+            expected: None,
         }
     }
 }
@@ -67,6 +75,8 @@
     pub spill: bool,
     /// Targets that were tried.
     pub tried: &'a [ids::TargetName],
+    /// Route that it takes.
+    pub route: &'a ids::EntryName,
     /// Whether to look outside the own data centre first, since the own one is over a limit.
     pub prefers_away: bool,
 }
@@ -80,20 +90,28 @@
     pub splits: split::SplitTurns,
     /// Ready targets.
     pub table: table::TargetTable,
+    /// Bytes of the calls of each route.
+    pub sizes: size::RouteSizes,
+    /// What an offer to another node costs.
+    pub offer_cost: offer::OfferCost,
+    /// What other nodes send to a slot of each service.
+    pub typical: typical::TypicalUses,
     /// What is known of each ready target.
     pub views: IndexMap<ids::TargetName, TargetView>,
 }
 
 impl RoutingState {
-    /// Takes a load report of a target.
+    /// Takes a load report of a service's target.
     pub fn take_report(
         &mut self,
+        service: &ids::EntryName,
         target: &ids::TargetName,
         load: wire::LoadReport,
         now: hazeltiller_units::time::MonotonicTime,
     ) {
         if let Some(view) = self.views.get_mut(target) {
             view.take_report(load, now);
+            self.typical.note(service, view.others_per_slot());
         }
     }
 }
@@ -143,6 +161,7 @@
         instance: target.instance.clone(),
         address: target.address,
         patience: choice.patience,
+        expected: choice.expected,
     })
 }
 
@@ -208,6 +227,7 @@
         .map_or(0, |service| service.slow_start_ms);
     let slow_start = Duration::from_millis(u64::from(slow_start));
     let half_life = settings::millis(state.settings.tunables.routing.load_half_life_ms);
+    let typical = state.routing.typical.of_service(request.service);
     let targets = state.routing.table.of_service(request.service).iter();
     targets
         .enumerate()
@@ -219,7 +239,7 @@
             WeighedTarget {
                 place,
                 warmth: view.warmth(state.now, slow_start),
-                pressure: view.pressure(target.slots, state.now, half_life),
+                pressure: view.pressure(target.slots, typical, state.now, half_life),
                 service_s: view.fresh_service_s(state.now, half_life),
             }
         })
--- a/crates/engine/src/routing/view.rs
+++ b/crates/engine/src/routing/view.rs
@@ -54,17 +54,35 @@
         });
     }
 
-    /// Requests per slot that it would have with one more: others' by its last report, halved for
-    /// each `half_life` that the report is old, and this process's own as they are.
-    pub fn pressure(&self, slots: u32, now: time::MonotonicTime, half_life: Duration) -> f64 {
+    /// Requests per slot that it would have with one more: others' by its last report, and this
+    /// process's own as they are. What a report said is worth half as much for each `half_life` that
+    /// it is old; what other nodes send to a slot of the service on average takes its place, so that
+    /// a busy service's targets do not look idle only because they were not asked lately.
+    pub fn pressure(
+        &self,
+        slots: u32,
+        typical: f64,
+        now: time::MonotonicTime,
+        half_life: Duration,
+    ) -> f64 {
+        // One that nothing was heard of yet is taken for idle: a call finds out.
         let of_others = self.report.map_or(0.0, |report| {
             let ages = now.since(report.at).as_secs_f64() / half_life.as_secs_f64();
-            // Whole requests only: else the last target to report none would win for ever.
-            (f64::from(report.of_others) * (-ages).exp2()).round()
+            let typical = typical * f64::from(slots);
+            let faded = typical + (f64::from(report.of_others) - typical) * (-ages).exp2();
+            // Whole requests only: else the last target to report few would win for ever.
+            faded.round()
         });
         (of_others + f64::from(self.outstanding) + 1.0) / f64::from(slots.max(1))
     }
 
+    /// Requests of other nodes per slot, by its last report; zero before the first.
+    pub fn others_per_slot(&self) -> f64 {
+        self.report.map_or(0.0, |report| {
+            f64::from(report.of_others) / f64::from(report.load.slots.max(1))
+        })
+    }
+
     /// Slots that its node uses of those announced, by its last report.
     pub fn usable_slots(&self, announced: u32) -> u32 {
         let reported = self.report.map_or(announced, |report| report.load.slots);
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -212,9 +212,18 @@
         /// Requests per slot, in percent, above which calls go to a data centre further away.
         spill_pressure_percent = 100, 1..=1000;
         /// Targets that are compared for a call. With 2, the less pressed of two random ones in the
-        /// nearest data centre that has room; with more, the one of them, wherever it is, that is
-        /// expected to answer first.
+        /// nearest data centre that has room. With more, the node's own one and so many others are
+        /// compared, half of them from other data centres, and the one that is expected to answer
+        /// first is taken: more of them choose better while few nodes share them, worse where sixty
+        /// nodes all find the same one idle.
         compared = 2, 2..=64;
+        /// What another data centre of the region counts for where answers are compared by when they
+        /// are expected, in percent of a run: of two targets that answer about equally soon the
+        /// nearer one is taken.
+        far_run_percent = 30, 0..=1000;
+        /// What each kilobyte of a request and its answer between data centres counts for there, in
+        /// milliseconds: those bytes cost, and an answer that is hardly sooner does not pay for them.
+        far_kilobyte_ms = 15, 0..=1000;
     }
 
     /// Tunables of health.
--- a/crates/engine/tests/expected.rs
+++ b/crates/engine/tests/expected.rs
@@ -54,7 +54,9 @@
         };
         let name = target.parse().expect("it is a name");
         let now = self.node.now;
-        self.node.state.routing.take_report(&name, load, now);
+        let service = "registru".parse().expect("it is a name");
+        let routing = &mut self.node.state.routing;
+        routing.take_report(&service, &name, load, now);
     }
 
     fn arrive(&mut self) -> calls::AttemptPlan {
@@ -115,7 +117,7 @@
         let ended = calls::CallEvent::AttemptEnded {
             call,
             result,
-            load: None,
+            report: calls::AttemptReport::default(),
         };
         let effects = ingress.node.call(ended);
         plan = effects
@@ -132,3 +134,82 @@
     assert_eq!(plan.offer.patience_ms, u32::MAX, "there is no other place");
     ingress.node.pass(Duration::from_millis(20));
 }
+
+impl Ingress {
+    /// Has a call answered by a near target with a body of so many bytes, some times over.
+    fn answer(&mut self, bytes: u64) {
+        for _ in 0..20 {
+            self.arrive();
+            let call = ids::CallId(self.last);
+            self.node.call(calls::CallEvent::AttemptEnded {
+                call,
+                result: calls::AttemptResult::Answered { status: 200 },
+                report: calls::AttemptReport { load: None, bytes },
+            });
+            self.node.call(calls::CallEvent::Finished(call));
+        }
+    }
+
+    /// Has an offer given back after a time.
+    fn give_back(&mut self, took: Duration) {
+        self.arrive();
+        let call = ids::CallId(self.last);
+        self.node.pass(took);
+        let code = hazeltiller_units::code::ResultCode::LatencyUnreachable;
+        self.node.call(calls::CallEvent::AttemptEnded {
+            call,
+            result: calls::AttemptResult::Refused(wire::CallRefusal::not_run(code)),
+            report: calls::AttemptReport::default(),
+        });
+        self.node.call(calls::CallEvent::Finished(call));
+    }
+}
+
+/// Bytes between data centres cost: where the near target is late by 60 ms, a small answer comes from
+/// afar and one of 20 kilobytes does not.
+#[test]
+fn large_stay_near() {
+    for (bytes, expected) in [(200, "far"), (20_000, "near")] {
+        let mut ingress = Ingress::new(&[("near", "brasov-a", 100), ("far", "sibiu-a", 100)]);
+        ingress.answer(bytes);
+        ingress.report("near", 2 * SLOTS - 2, 100_000);
+        ingress.report("far", 0, 100_000);
+        let spread = ingress.spread(1);
+        assert_eq!(spread, IndexMap::from([(expected.into(), 1)]), "{bytes}");
+    }
+}
+
+/// A node that learns that asking others takes long asks them less: its own target first, and an
+/// offer that waits a little is not worth another one.
+#[test]
+fn dear_offers() {
+    let mut ingress = Ingress::new(&[("other", "brasov-a", 100)]);
+    ingress
+        .node
+        .announce(node::target("own", "registru", SLOTS));
+    let first = ingress.arrive();
+    assert_eq!(first.offer.target.as_str(), "own", "no hop");
+    let mut cheap = Ingress::new(&[("one", "brasov-a", 100), ("two", "brasov-a", 100)]);
+    let before = cheap.arrive().offer.patience_ms;
+    for _ in 0..60 {
+        cheap.give_back(Duration::from_millis(80));
+    }
+    cheap.report("one", 0, 100_000);
+    cheap.report("two", 0, 100_000);
+    let after = cheap.arrive().offer.patience_ms;
+    assert!(after >= before + 50, "{before} ms, then {after} ms");
+}
+
+/// What was heard of a busy service's target a while ago fades to what its targets have on the whole,
+/// not to nothing: the one that was not asked for longest is not taken for idle.
+#[test]
+fn old_reports() {
+    let mut ingress = Ingress::new(&[("old", "brasov-a", 100), ("new", "brasov-a", 100)]);
+    ingress.report("old", 2 * SLOTS, 100_000);
+    ingress.node.pass(Duration::from_secs(4));
+    for _ in 0..40 {
+        ingress.report("new", SLOTS + 1, 100_000);
+    }
+    let spread = ingress.spread(1);
+    assert_eq!(spread, IndexMap::from([("new".into(), 1)]));
+}
--- a/crates/engine/tests/health.rs
+++ b/crates/engine/tests/health.rs
@@ -190,8 +190,14 @@
                 status: if is_bad { 500 } else { 200 },
             };
             let load = Some(load);
-            self.node
-                .call(calls::CallEvent::AttemptEnded { call, result, load });
+            self.node.call(calls::CallEvent::AttemptEnded {
+                call,
+                result,
+                report: calls::AttemptReport {
+                    load,
+                    ..calls::AttemptReport::default()
+                },
+            });
             self.node.call(calls::CallEvent::Finished(call));
         }
         failed
@@ -247,7 +253,7 @@
         ingress.node.call(calls::CallEvent::AttemptEnded {
             call,
             result,
-            load: None,
+            report: calls::AttemptReport::default(),
         });
         ingress.node.call(calls::CallEvent::Finished(call));
     }
--- a/crates/engine/tests/ledger.rs
+++ b/crates/engine/tests/ledger.rs
@@ -199,7 +199,14 @@
         };
         let result = calls::AttemptResult::Refused(refusal);
         let load = None;
-        let ended = calls::CallEvent::AttemptEnded { call, result, load };
+        let ended = calls::CallEvent::AttemptEnded {
+            call,
+            result,
+            report: calls::AttemptReport {
+                load,
+                ..calls::AttemptReport::default()
+            },
+        };
         self.reduce(index, event::Event::Calls(ended));
     }
 
--- a/crates/engine/tests/retry.rs
+++ b/crates/engine/tests/retry.rs
@@ -56,7 +56,7 @@
         self.only(calls::CallEvent::AttemptEnded {
             call,
             result,
-            load: None,
+            report: calls::AttemptReport::default(),
         })
     }
 
@@ -278,7 +278,7 @@
         effect = hops[depth].only(calls::CallEvent::AttemptEnded {
             call,
             result,
-            load: None,
+            report: calls::AttemptReport::default(),
         });
         if let calls::CallEffect::Pass(_) = effect {
             return 503;
--- a/crates/engine/tests/routing.rs
+++ b/crates/engine/tests/routing.rs
@@ -90,8 +90,14 @@
 
     fn answer(&mut self, call: ids::CallId, load: Option<wire::LoadReport>) {
         let result = calls::AttemptResult::Answered { status: 200 };
-        self.node
-            .call(calls::CallEvent::AttemptEnded { call, result, load });
+        self.node.call(calls::CallEvent::AttemptEnded {
+            call,
+            result,
+            report: calls::AttemptReport {
+                load,
+                ..calls::AttemptReport::default()
+            },
+        });
         self.node.call(calls::CallEvent::Finished(call));
     }
 
--- a/crates/engine/tests/urgency.rs
+++ b/crates/engine/tests/urgency.rs
@@ -57,13 +57,22 @@
     }
 
     fn offer(&mut self, class: &str, patience_ms: u32) -> (ids::CallId, Option<wire::CallRefusal>) {
+        self.offer_within(class, patience_ms, 300)
+    }
+
+    fn offer_within(
+        &mut self,
+        class: &str,
+        patience_ms: u32,
+        latency_left_ms: u32,
+    ) -> (ids::CallId, Option<wire::CallRefusal>) {
         self.last += 1;
         let call = ids::CallId(self.last);
         let route = if class == "urgent" { "issue" } else { "lookup" };
         let offer = wire::CallOffer {
             route: route.parse().expect("it is a name"),
             deadline_left_ms: 1200,
-            latency_left_ms: 300,
+            latency_left_ms,
             patience_ms,
             ..node::offer(TARGET, "registru", class)
         };
@@ -302,3 +311,67 @@
     println!("offers a call: {all:.2} of all compared, {few:.2} of five");
     assert!(few < all * 0.8, "{few} against {all}");
 }
+
+/// A call whose target latency is over takes a free slot, or the next one; it does not stand among those
+/// that can still be answered in time.
+#[test]
+fn overdue_last() {
+    let mut desk = Desk::full();
+    let (next, refusal) = desk.offer_within("common", 5000, 0);
+    assert_eq!(refusal, None, "nobody else waits");
+    let (_, refusal) = desk.offer_within("common", 5000, 0);
+    let refusal = refusal.expect("somebody waits already");
+    assert_eq!(refusal.code, code::ResultCode::LatencyUnreachable);
+    assert_eq!(refusal.outcome, wire::CallOutcome::NotRun);
+    assert!(refusal.elsewhere, "another target may have a free slot");
+    desk.node.call(calls::CallEvent::RunEnded {
+        call: next,
+        result: calls::RunResult::CallerGone,
+    });
+    let (_, refusal) = desk.offer("common", 5000);
+    assert_eq!(refusal, None);
+    let (_, refusal) = desk.offer_within("common", 5000, 0);
+    assert!(refusal.is_some(), "the slot is for the one that is in time");
+    let (_, refusal) = desk.offer_within("urgent", 5000, 0);
+    assert_eq!(refusal, None, "a better class waits for its deadline");
+}
+
+/// What the ingress node offers for a caller that says how much time it has left.
+fn latency_left(node: &mut node::NodeReducer, call: u64, left_ms: u64) -> u32 {
+    let arrival = calls::CallArrival {
+        deadline_left: Some(Duration::from_millis(left_ms)),
+        ..node::arrival(call, "/vehicles")
+    };
+    let effects = node.call(calls::CallEvent::Arrived(arrival));
+    node.call(calls::CallEvent::Finished(ids::CallId(call)));
+    let offers = effects.into_iter().filter_map(|effect| match effect {
+        calls::CallEffect::Attempt(_, plan) => Some(plan.offer.latency_left_ms),
+        _ => None,
+    });
+    offers.last().expect("there is a target")
+}
+
+/// The target latency counts from a caller's first send: one that comes back with less time than
+/// callers of the route usually have has spent the rest already.
+#[test]
+fn returned_callers() {
+    let mut node = node::NodeReducer::new("node-1", "brasov-a", &entries(Some(300)));
+    node.announce(node::target(TARGET, "registru", SLOTS));
+    for call in 0..40 {
+        let left = if call % 4 == 3 { 800 } else { 1000 + call % 2 };
+        latency_left(&mut node, call, left);
+    }
+    assert_eq!(latency_left(&mut node, 50, 1000), 300, "as usual");
+    assert_eq!(latency_left(&mut node, 51, 900), 199, "100 ms were spent");
+    assert_eq!(latency_left(&mut node, 52, 600), 0);
+    let mut node = node::NodeReducer::new("node-1", "brasov-a", &entries(Some(300)));
+    node.announce(node::target(TARGET, "registru", SLOTS));
+    for call in 0..80 {
+        latency_left(&mut node, call, 400 + call * 10);
+    }
+    assert_eq!(
+        latency_left(&mut node, 90, 400),
+        300,
+        "no time is usual here"
+    );
+}
--- a/crates/testkit/src/model/run.rs
+++ b/crates/testkit/src/model/run.rs
@@ -373,7 +373,10 @@
         let event = calls::CallEvent::AttemptEnded {
             call: ids::CallId(call),
             result,
-            load,
+            report: calls::AttemptReport {
+                load,
+                ..calls::AttemptReport::default()
+            },
         };
         self.ask_ingress(call, event);
         if is_good {
--- a/crates/wire/src/calls.rs
+++ b/crates/wire/src/calls.rs
@@ -1,7 +1,8 @@
 //! What nodes tell each other about one call, beside the call itself.
 //!
-//! A call goes between nodes as HTTP/2; these records travel in headers of it, as hexadecimal of
-//! the compact codec, so that a body never waits for them.
+//! A call goes between nodes as HTTP/2; these records travel in headers of it, as base64 of
+//! the compact codec, so that a body never waits for them. On a narrow link they are a good part of
+//! what a call costs: names are short, and what repeats stands in a header of its own.
 
 use std::fmt;
 
@@ -13,10 +14,17 @@
 
 /// What the names of the system's own headers begin with.
 pub const HEADER_PREFIX: &str = "hazeltiller-";
-/// Header with a [`CallOffer`].
-pub const OFFER_HEADER: &str = "hazeltiller-offer";
-/// Header with a [`LoadReport`].
-pub const LOAD_HEADER: &str = "hazeltiller-load";
+/// What the names of headers between nodes only begin with; short, for they go with every call.
+pub const LINK_PREFIX: &str = "hz-";
+/// Header with the [`OfferTerms`] of a call. The same for every call of a route, so that the
+/// connection's header compression sends it once.
+pub const TERMS_HEADER: &str = "hz-t";
+/// Header with the [`OfferTry`] of a call.
+pub const OFFER_HEADER: &str = "hz-o";
+/// Header with the [`CallRefusal`] of an offer that was not taken.
+pub const REFUSAL_HEADER: &str = "hz-r";
+/// Header of an answer with a [`LoadReport`].
+pub const LOAD_HEADER: &str = "hz-l";
 /// Header with the result code of an answer that the system made.
 pub const CODE_HEADER: &str = "hazeltiller-code";
 /// Header with the outcome of an answer that the system made.
@@ -31,7 +39,7 @@
 /// Header with the id of a request; what calls on behalf of a call passes it on.
 pub const REQUEST_HEADER: &str = "hazeltiller-request";
 /// Header with the sender's hybrid logical time, between nodes only.
-pub const CLOCK_HEADER: &str = "hazeltiller-clock";
+pub const CLOCK_HEADER: &str = "hz-c";
 /// Header with the name of the target that answered.
 pub const TARGET_HEADER: &str = "hazeltiller-target";
 /// Header with the caller's key for a request that is sent again.
@@ -203,6 +211,78 @@
     pub caller: Option<ids::EntryName>,
 }
 
+/// The part of an offer that is the same for every call of a route.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OfferTerms {
+    route: ids::EntryName,
+    service: ids::EntryName,
+    owner: ids::EntryName,
+    class: ids::EntryName,
+    cost: u32,
+    first_byte_ms: u32,
+    is_idempotent: bool,
+    caller: Option<ids::EntryName>,
+}
+
+/// The part of an offer that differs from call to call.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OfferTry {
+    target: ids::TargetName,
+    deadline_left_ms: u32,
+    attempt: u32,
+    key: Option<String>,
+    fingerprint: Option<ledger::RequestDigest>,
+    latency_left_ms: u32,
+    patience_ms: u32,
+}
+
+impl CallOffer {
+    /// Its two parts, for the wire.
+    pub fn split(self) -> (OfferTerms, OfferTry) {
+        let terms = OfferTerms {
+            route: self.route,
+            service: self.service,
+            owner: self.owner,
+            class: self.class,
+            cost: self.cost,
+            first_byte_ms: self.first_byte_ms,
+            is_idempotent: self.is_idempotent,
+            caller: self.caller,
+        };
+        let attempt = OfferTry {
+            target: self.target,
+            deadline_left_ms: self.deadline_left_ms,
+            attempt: self.attempt,
+            key: self.key,
+            fingerprint: self.fingerprint,
+            latency_left_ms: self.latency_left_ms,
+            patience_ms: self.patience_ms,
+        };
+        (terms, attempt)
+    }
+
+    /// The offer of two parts.
+    pub fn join(terms: OfferTerms, attempt: OfferTry) -> Self {
+        Self {
+            target: attempt.target,
+            route: terms.route,
+            service: terms.service,
+            owner: terms.owner,
+            class: terms.class,
+            cost: terms.cost,
+            deadline_left_ms: attempt.deadline_left_ms,
+            first_byte_ms: terms.first_byte_ms,
+            attempt: attempt.attempt,
+            is_idempotent: terms.is_idempotent,
+            key: attempt.key,
+            fingerprint: attempt.fingerprint,
+            latency_left_ms: attempt.latency_left_ms,
+            patience_ms: attempt.patience_ms,
+            caller: terms.caller,
+        }
+    }
+}
+
 /// What the owner node says of a target with every answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadReport {
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -3,6 +3,7 @@
 //! The length is checked before anything is allocated, and what a compressed frame may grow to is
 //! bounded too, so that a broken peer costs its own link and nothing else.
 
+use base64::{Engine, engine};
 use serde::{Serialize, de::DeserializeOwned};
 use snafu::Snafu;
 
@@ -13,9 +14,8 @@
 /// From this size on a frame is compressed.
 const COMPRESS_FROM: usize = 512;
 const COMPRESSION_LEVEL: i32 = 1;
-const HEX_DIGITS: [char; 16] = [
-    '0', '1', '2', '3', '4', '5', '6', '7', '8', '9', 'a', 'b', 'c', 'd', 'e', 'f',
-];
+/// How bytes become a header's text: a third longer, where hexadecimal would double them.
+const HEADER_TEXT: engine::GeneralPurpose = engine::general_purpose::URL_SAFE_NO_PAD;
 const PLAIN: u8 = 0;
 const COMPRESSED: u8 = 1;
 
@@ -131,24 +131,15 @@
 /// A value as text for a header.
 pub fn encode_header<T: Serialize>(value: &T) -> String {
     let bytes = postcard::to_stdvec(value).expect("headers hold no maps of unknown length");
-    let mut text = String::with_capacity(bytes.len() * 2);
-    for byte in bytes {
-        text.push(HEX_DIGITS[usize::from(byte >> 4)]);
-        text.push(HEX_DIGITS[usize::from(byte & 15)]);
-    }
-    text
+    HEADER_TEXT.encode(bytes)
 }
 
 /// Reads a header's text.
 pub fn decode_header<T: DeserializeOwned>(text: &str) -> Result<T, CodecError> {
-    let malformed = || CodecError::Malformed {
-        message: "the header is not hexadecimal".into(),
-    };
-    let is_hex = text.bytes().all(|byte| byte.is_ascii_hexdigit());
-    if !is_hex || !text.len().is_multiple_of(2) {
-        return Err(malformed());
-    }
-    let byte = |index: usize| u8::from_str_radix(&text[index * 2..index * 2 + 2], 16);
-    let bytes: Result<Vec<u8>, _> = (0..text.len() / 2).map(byte).collect();
-    decode_plain(&bytes.map_err(|_not_hex| malformed())?)
+    let bytes = HEADER_TEXT
+        .decode(text)
+        .map_err(|error| CodecError::Malformed {
+            message: error.to_string(),
+        })?;
+    decode_plain(&bytes)
 }
--- a/crates/wire/tests/decoders.rs
+++ b/crates/wire/tests/decoders.rs
@@ -218,7 +218,8 @@
 
 #[test]
 fn arbitrary_headers() {
-    let text = prop::string::string_regex("([0-9a-f]{2}|[+gé ]){0,64}").expect("it is a pattern");
+    let text =
+        prop::string::string_regex("([0-9A-Za-z_-]{2}|[+gé ]){0,64}").expect("it is a pattern");
     let tried = runner().run(&text, |text| {
         try_every_header(&text);
         Ok(())
