--- a/crates/daemon/src/callers/attempt.rs
+++ b/crates/daemon/src/callers/attempt.rs
@@ -1,6 +1,6 @@
 //! One try of a call: at this node's own target, or offered to another node.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use hazeltiller_engine::calls;
 use hazeltiller_units::code;
@@ -29,7 +29,7 @@
     let response = if own {
         owner::serve_local(Arc::clone(context), plan.offer.clone(), request).await
     } else {
-        prepare(&mut request, plan.candidate.address, &plan.offer);
+        prepare(context, &mut request, plan);
         trace::send_clock(&context.clock, request.headers_mut());
         let sending = context.nodes.send(plan.candidate.address, request);
         match time::timeout(left + DEADLINE_GRACE, sending).await {
@@ -62,19 +62,27 @@
     (Err(result), calls::AttemptReport::default())
 }
 
-fn prepare(request: &mut Request<http::StreamBody>, to: SocketAddr, offer: &wire::CallOffer) {
+fn prepare(
+    context: &process::ProcessContext,
+    request: &mut Request<http::StreamBody>,
+    plan: &calls::AttemptPlan,
+) {
     let path = request.uri().path_and_query().cloned();
     *request.uri_mut() = Uri::builder()
         .scheme("http")
-        .authority(to.to_string())
+        .authority(plan.candidate.address.to_string())
         .path_and_query(path.unwrap_or_else(|| "/".parse().expect("it is a path")))
         .build()
         .expect("an address and a checked path make a URI");
     *request.version_mut() = hyper::Version::HTTP_2;
-    let (terms, attempt) = offer.clone().split();
+    let (terms, attempt) = plan.offer.clone().split();
+    let sent = wire::SentOffer {
+        sent_ms: context.started.elapsed().as_millis() as u32,
+        attempt,
+    };
     let headers = request.headers_mut();
     headers.insert(wire::TERMS_HEADER, http::record_value(&terms));
-    headers.insert(wire::OFFER_HEADER, http::passing_value(&attempt));
+    headers.insert(wire::OFFER_HEADER, http::passing_value(&sent));
 }
 
 /// Tells a refusal of the owner node from an answer of its target, and takes what the owner node says
--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -2,13 +2,16 @@
 
 use std::{
     pin::Pin,
-    sync::Arc,
+    sync::{Arc, Mutex},
     task::{Context, Poll},
     time::Duration,
 };
 
 use bytes::Bytes;
-use hazeltiller_engine::{calls, event, quarantine};
+use hazeltiller_engine::{
+    calls::{self, transit},
+    event, quarantine,
+};
 use hazeltiller_units::{code, ids};
 use hazeltiller_wire::{calls as wire, ledger, quarantine as wire_quarantine};
 use http_body_util::BodyExt;
@@ -32,14 +35,15 @@
 /// Serves a call that another node offers.
 pub async fn serve_offer(
     context: Arc<process::ProcessContext>,
+    transit: &Mutex<transit::TransitMeter>,
     mut request: Request<Incoming>,
 ) -> Response<http::StreamBody> {
     let headers = request.headers_mut();
     let terms = http::take_record(headers, wire::TERMS_HEADER);
-    let attempt = http::take_record(headers, wire::OFFER_HEADER);
+    let sent = http::take_record(headers, wire::OFFER_HEADER);
     let offer = terms
-        .zip(attempt)
-        .map(|(terms, attempt)| wire::CallOffer::join(terms, attempt));
+        .zip(sent)
+        .map(|(terms, sent)| take_offer(&context, transit, terms, sent));
     trace::take_clock(&context.clock, request.headers_mut());
     let Some(offer) = offer else {
         return refused(&not_run(code::ResultCode::MessageInvalid));
@@ -50,6 +54,21 @@
     response
 }
 
+/// The offer with what is left of its time after its way here.
+fn take_offer(
+    context: &process::ProcessContext,
+    transit: &Mutex<transit::TransitMeter>,
+    terms: wire::OfferTerms,
+    sent: wire::SentOffer,
+) -> wire::CallOffer {
+    let mut offer = wire::CallOffer::join(terms, sent.attempt);
+    let sent = Duration::from_millis(u64::from(sent.sent_ms));
+    let came = context.started.elapsed();
+    let mut meter = transit.lock().expect("no holder of the lock panics");
+    offer.spend(meter.note(sent, came));
+    offer
+}
+
 /// Serves an offered call; the answer carries the load or the refusal in headers.
 pub async fn serve_local(
     context: Arc<process::ProcessContext>,
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -1,8 +1,8 @@
 //! The peers listener: greets, then reads messages or serves calls.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 
-use hazeltiller_engine::event;
+use hazeltiller_engine::{calls::transit, event};
 use hazeltiller_wire::{codec, handshake as wire, membership, message};
 use hyper::{server::conn::http2, service};
 use hyper_util::rt;
@@ -83,9 +83,13 @@
 
 async fn serve_calls(context: Arc<process::ProcessContext>, stream: TcpStream) {
     let shared = Arc::clone(&context);
+    let transit = Arc::new(Mutex::new(transit::TransitMeter::default()));
     let service = service::service_fn(move |request| {
-        let context = Arc::clone(&shared);
-        async move { Ok::<_, std::convert::Infallible>(owner::serve_offer(context, request).await) }
+        let (context, transit) = (Arc::clone(&shared), Arc::clone(&transit));
+        async move {
+            let response = owner::serve_offer(context, &transit, request).await;
+            Ok::<_, std::convert::Infallible>(response)
+        }
     });
     let mut server = http2::Builder::new(rt::TokioExecutor::new());
     server
--- a/crates/engine/src/calls.rs
+++ b/crates/engine/src/calls.rs
@@ -15,6 +15,7 @@
 mod ingress;
 mod owner;
 pub mod terms;
+pub mod transit;
 pub mod usual;
 
 pub use owner::evict;
--- a/crates/engine/src/calls/owner.rs
+++ b/crates/engine/src/calls/owner.rs
@@ -28,6 +28,9 @@
     offer: wire::CallOffer,
     output: &mut event::ReducerOutput,
 ) {
+    if offer.deadline_left_ms == 0 {
+        return calls::refuse(call, code::ResultCode::DeadlineExceeded, output);
+    }
     if let Some(refusal) = quarantine::hold_off(state, call, &offer) {
         return output.refuse(call, refusal);
     }
--- /dev/null
+++ b/crates/engine/tests/transit.rs
@@ -0,0 +1,73 @@
+//! Time that offers spend on their way.
+
+use std::time::Duration;
+
+use hazeltiller_engine::calls::{self, transit};
+use hazeltiller_testkit::node;
+use hazeltiller_units::{code, ids};
+use hazeltiller_wire::calls as wire;
+use serde_json::json;
+
+const TARGET: &str = "registru-1";
+
+fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+#[test]
+fn late_told() {
+    let mut meter = transit::TransitMeter::default();
+    // The receiver has run for ten minutes when the sender starts.
+    let start = 600_000;
+    assert_eq!(meter.note(millis(5), millis(start + 7)), millis(0));
+    assert_eq!(meter.note(millis(100), millis(start + 602)), millis(500));
+    assert_eq!(meter.note(millis(200), millis(start + 201)), millis(0));
+    assert_eq!(meter.note(millis(300), millis(start + 351)), millis(50));
+}
+
+/// A sender that was suspended for three seconds seems late by them, until a few seconds have passed.
+#[test]
+fn suspended_sender() {
+    let mut meter = transit::TransitMeter::default();
+    meter.note(millis(0), millis(1000));
+    let mut late = Vec::new();
+    for second in 1..10 {
+        late.push(meter.note(millis(second * 1000), millis(second * 1000 + 4000)));
+    }
+    assert_eq!(late[0], millis(3000));
+    assert_eq!(late[6..], [millis(0); 3]);
+}
+
+/// A call whose time was over when its offer came did not run, and the node says so.
+#[test]
+fn overdue_offer_refused() {
+    let entries = json!([
+        {"kind": "class", "name": "counter", "owner": "registru", "class": "counter"},
+        {"kind": "owner", "name": "registru", "owner": "registru", "class": "counter"},
+        {"kind": "service", "name": "registru", "owner": "registru", "class": "counter"},
+        {"kind": "route", "name": "lookup", "owner": "registru", "class": "counter",
+         "service": "registru", "match": {"path_prefix": "/"}},
+    ]);
+    let mut node = node::NodeReducer::new("node-1", "brasov-a", &entries);
+    node.announce(node::target(TARGET, "registru", 2));
+    for (spent_ms, runs) in [(200, true), (300, false)] {
+        let mut offer = wire::CallOffer {
+            deadline_left_ms: 250,
+            latency_left_ms: 100,
+            ..node::offer(TARGET, "registru", "counter")
+        };
+        offer.spend(millis(spent_ms));
+        assert_eq!(offer.latency_left_ms, 0);
+        let call = ids::CallId(spent_ms);
+        let effects = node.call(calls::CallEvent::Offered { call, offer });
+        match &effects[..] {
+            [calls::CallEffect::Run(..)] => assert!(runs),
+            [calls::CallEffect::Refuse(_, refusal)] => {
+                assert!(!runs);
+                assert_eq!(refusal.code, code::ResultCode::DeadlineExceeded);
+                assert_eq!(refusal.outcome, wire::CallOutcome::NotRun);
+            }
+            other => panic!("{other:?}"),
+        }
+    }
+}
--- a/crates/wire/src/calls.rs
+++ b/crates/wire/src/calls.rs
@@ -4,7 +4,7 @@
 //! the compact codec, so that a body never waits for them. On a narrow link they are a good part of
 //! what a call costs: names are short, and what repeats stands in a header of its own.
 
-use std::fmt;
+use std::{fmt, time::Duration};
 
 use hazeltiller_catalogue::entry;
 use hazeltiller_units::{code, ids};
@@ -19,7 +19,7 @@
 /// Header with the [`OfferTerms`] of a call. The same for every call of a route, so that the
 /// connection's header compression sends it once.
 pub const TERMS_HEADER: &str = "hz-t";
-/// Header with the [`OfferTry`] of a call.
+/// Header with the [`SentOffer`] of a call.
 pub const OFFER_HEADER: &str = "hz-o";
 /// Header with the [`CallRefusal`] of an offer that was not taken.
 pub const REFUSAL_HEADER: &str = "hz-r";
@@ -236,6 +236,15 @@
     patience_ms: u32,
 }
 
+/// The part of an offer that differs from call to call, as it is sent.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SentOffer {
+    /// The sender's steady clock, in milliseconds since it started.
+    pub sent_ms: u32,
+    /// The offer's part.
+    pub attempt: OfferTry,
+}
+
 impl CallOffer {
     /// Its two parts, for the wire.
     pub fn split(self) -> (OfferTerms, OfferTry) {
@@ -261,6 +270,13 @@
         (terms, attempt)
     }
 
+    /// Takes time that passed on the way off what is left.
+    pub fn spend(&mut self, span: Duration) {
+        let millis = u32::try_from(span.as_millis()).unwrap_or(u32::MAX);
+        self.deadline_left_ms = self.deadline_left_ms.saturating_sub(millis);
+        self.latency_left_ms = self.latency_left_ms.saturating_sub(millis);
+    }
+
     /// The offer of two parts.
     pub fn join(terms: OfferTerms, attempt: OfferTry) -> Self {
         Self {
