--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -14,6 +14,7 @@
 use hazeltiller_engine::{calls, event};
 use hazeltiller_units::{code, ids};
 use hazeltiller_wire::calls as wire;
+use http_body_util::{BodyExt, Limited};
 use hyper::{
     Request, Response,
     body::{Body, Incoming},
@@ -203,7 +204,7 @@
         head::describe(call, &request, &told, caller)
     });
     let mut arrival = arrival.map_err(|_ambiguous| malformed())?;
-    check_length(context, &request)?;
+    let body_bytes = check_length(context, &request)?;
     let (mut parts, body) = request.into_parts();
     let is_chunked = parts.headers.contains_key(header::TRANSFER_ENCODING);
     head::name_host(&mut parts);
@@ -215,13 +216,19 @@
     }
     let bound = context.requests.replay_bytes;
     let length = body.size_hint().exact();
-    let source = replay::BodySource::new(body, bound as usize);
+    let source = replay::BodySource::new(limited(body, body_bytes), bound as usize);
     let read = match length {
         Some(length) if length <= bound => source.read_whole().await,
         None if is_chunked => source.read_first().await,
         _ => Ok(()),
     };
-    read.map_err(|_broken| malformed())?;
+    read.map_err(|_broken| {
+        if source.is_over_limit() {
+            wire::CallRefusal::not_run(code::ResultCode::BodyOverLimit)
+        } else {
+            malformed()
+        }
+    })?;
     let body = length
         .filter(|length| *length <= bound)
         .map(|_| source.kept());
@@ -235,17 +242,29 @@
     })
 }
 
-/// Refuses a body that says itself that it is larger than the catalogue allows.
+/// Refuses a body that says itself that it is larger than the catalogue allows; returns what it does.
 fn check_length(
     context: &process::ProcessContext,
     request: &http1::CallRequest,
-) -> Result<(), wire::CallRefusal> {
+) -> Result<Option<u64>, wire::CallRefusal> {
     let limits = context.in_force.borrow().listener_limits();
+    let body_bytes = limits.map(|limits| limits.body_bytes);
     let length = request.body().size_hint().lower();
-    if limits.is_some_and(|limits| length > limits.body_bytes) {
+    if body_bytes.is_some_and(|limit| length > limit) {
         return Err(wire::CallRefusal::not_run(code::ResultCode::BodyOverLimit));
     }
-    Ok(())
+    Ok(body_bytes)
+}
+
+/// A body that breaks off where it grows beyond a limit; one that tells its length is within it.
+fn limited(body: http::StreamBody, limit: Option<u64>) -> http::StreamBody {
+    match limit {
+        Some(limit) if body.size_hint().exact().is_none() => {
+            let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+            Limited::new(body, limit).boxed_unsync()
+        }
+        _ => body,
+    }
 }
 
 type ServedCall = Result<Response<http::StreamBody>, wire::CallRefusal>;
@@ -302,7 +321,7 @@
                     let (attempt, mut report) =
                         attempt::attempt(context, &plan, self.parts.clone(), body).await;
                     if attempt.is_err() && self.source.is_broken() {
-                        return Err(broken_request());
+                        return Err(broken_request(&self.source));
                     }
                     report.bytes += sent_bytes;
                     let result = match attempt {
@@ -357,8 +376,12 @@
 }
 
 /// The caller's body broke after a part of it went out: what the target made of that is unknown.
-fn broken_request() -> wire::CallRefusal {
-    wire::CallRefusal::unknown(code::ResultCode::RequestMalformed)
+fn broken_request(source: &replay::BodySource) -> wire::CallRefusal {
+    wire::CallRefusal::unknown(if source.is_over_limit() {
+        code::ResultCode::BodyOverLimit
+    } else {
+        code::ResultCode::RequestMalformed
+    })
 }
 
 fn stopping() -> wire::CallRefusal {
--- a/crates/daemon/src/replay.rs
+++ b/crates/daemon/src/replay.rs
@@ -10,7 +10,7 @@
 };
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, LengthLimitError};
 use hyper::body::{Body, Frame, SizeHint};
 use snafu::Snafu;
 
@@ -31,6 +31,8 @@
     is_ended: bool,
     is_over_bound: bool,
     is_broken: bool,
+    /// Whether it broke off because it was larger than its limit.
+    is_over_limit: bool,
     tries: u32,
 }
 
@@ -51,6 +53,7 @@
             is_ended,
             is_over_bound: false,
             is_broken: false,
+            is_over_limit: false,
             tries: 0,
         })))
     }
@@ -83,6 +86,11 @@
         self.state().is_broken
     }
 
+    /// Whether it broke off because it was larger than its limit.
+    pub fn is_over_limit(&self) -> bool {
+        self.state().is_over_limit
+    }
+
     /// The body for the next try; `None` when what was sent before is no longer kept.
     pub fn body(&self) -> Option<http::StreamBody> {
         let mut state = self.state();
@@ -114,6 +122,7 @@
             None => self.is_ended = true,
             Some(Err(error)) => {
                 self.is_broken = true;
+                self.is_over_limit = error.is::<LengthLimitError>();
                 return Poll::Ready(Err(error));
             }
             Some(Ok(frame)) => match frame.into_data() {
--- a/crates/engine/tests/transit.rs
+++ b/crates/engine/tests/transit.rs
@@ -60,7 +60,7 @@
         assert_eq!(offer.latency_left_ms, 0);
         let call = ids::CallId(spent_ms);
         let effects = node.call(calls::CallEvent::Offered { call, offer });
-        match &effects[..] {
+        match &*effects {
             [calls::CallEffect::Run(..)] => assert!(runs),
             [calls::CallEffect::Refuse(_, refusal)] => {
                 assert!(!runs);
--- a/tests/all/hygiene.rs
+++ b/tests/all/hygiene.rs
@@ -1,6 +1,7 @@
 //! What must not get through: ambiguous requests, connection headers, the system's own headers.
 
 use hazeltiller_testkit::{fleet, wait};
+use serde_json::json;
 
 use crate::{
     raw::{self, RawAnswer},
@@ -116,6 +117,7 @@
     let request = "GET /vehicles/own HTTP/1.1\r\nhost: a\r\nconnection: close, x-hop\r\n\
         x-hop: 1\r\nkeep-alive: 5\r\nproxy-connection: x\r\nhazeltiller-offer: 00\r\n\
         hazeltiller-load: 00\r\nhazeltiller-target: forged\r\nhazeltiller-code: HZ1\r\n\
+        hz-o: 00\r\nhz-t: 00\r\nhz-l: 00\r\nhz-r: 00\r\nhz-c: 00\r\n\
         hazeltiller-deadline-ms: 1500\r\nx-mine: kept\r\n\r\n";
     let answer = raw::say(callers, request).await.to_lowercase();
     let received = raw::wait_received(&target, "/vehicles/own")
@@ -127,6 +129,7 @@
         "proxy-",
         "-offer",
         "-load",
+        "hz-",
         "forged",
         "hz1",
     ] {
@@ -137,7 +140,7 @@
     let left = left.and_then(|rest| rest.lines().next()?.parse().ok());
     let left: u64 = left.expect("the time left is sent on");
     assert!((1..=1500).contains(&left), "{left} ms are left");
-    for gone in ["x-private", "hz9", "not-run", "-load", "-offer"] {
+    for gone in ["x-private", "hz9", "not-run", "-load", "-offer", "hz-"] {
         assert!(!answer.contains(gone), "{gone} in {answer}");
     }
     assert!(answer.contains("hazeltiller-target: raw"), "{answer}");
@@ -276,3 +279,40 @@
     target.ended.notified().await;
     target.ended.notified().await;
 }
+
+/// A body in chunks is held to the listener's limit too: it is refused, and the target does not get it
+/// as if it were whole.
+#[tokio::test(flavor = "multi_thread")]
+async fn chunks_over_limit() {
+    let (mut fleet, target) = raw_path(RawAnswer::Bytes(ANSWER)).await;
+    let limits = json!({"put": [{"kind": "listener", "name": "callers", "owner": "registru",
+        "class": "counter", "limits": {"body_bytes": 1000}}], "remove": [],
+        "change_id": "limits", "expects": 1});
+    let (status, answer) = fleet.change("control-1", &limits).await.expect("an answer");
+    assert_eq!(status, 200, "{answer}");
+    fleet.wait_version(&["node-1"], 2).await;
+    let callers = fleet.instance("node-1").addresses["callers"];
+    let chunk = |bytes: usize| format!("{bytes:x}\r\n{}\r\n", "x".repeat(bytes));
+    let table = [
+        ("/certificates/one", vec![2000], "413"),
+        ("/certificates/many", vec![600, 600], "413"),
+        ("/certificates/within", vec![500, 500], "200"),
+    ];
+    for (path, chunks, expected) in table {
+        let chunks: String = chunks.into_iter().map(chunk).collect();
+        let request = format!(
+            "POST {path} HTTP/1.1\r\nhost: a\r\n{CLOSE}transfer-encoding: chunked\r\n\r\n\
+            {chunks}0\r\n\r\n"
+        );
+        let answer = raw::say(callers, &request).await;
+        assert!(
+            answer.starts_with(&format!("HTTP/1.1 {expected}")),
+            "{path}: {answer}"
+        );
+    }
+    let received = target.received().await.concat();
+    assert!(
+        !received.contains(&"x".repeat(1001)),
+        "more than the limit went on"
+    );
+}
