--- a/crates/daemon/src/callers/attempt.rs
+++ b/crates/daemon/src/callers/attempt.rs
@@ -29,7 +29,7 @@
     let response = if own {
         owner::serve_local(Arc::clone(context), plan.offer.clone(), request).await
     } else {
-        prepare(context, &mut request, plan);
+        prepare(&mut request, plan);
         trace::send_clock(&context.clock, request.headers_mut());
         let sending = context.nodes.send(plan.candidate.address, request);
         match time::timeout(left + DEADLINE_GRACE, sending).await {
@@ -62,11 +62,7 @@
     (Err(result), calls::AttemptReport::default())
 }
 
-fn prepare(
-    context: &process::ProcessContext,
-    request: &mut Request<http::StreamBody>,
-    plan: &calls::AttemptPlan,
-) {
+fn prepare(request: &mut Request<http::StreamBody>, plan: &calls::AttemptPlan) {
     let path = request.uri().path_and_query().cloned();
     *request.uri_mut() = Uri::builder()
         .scheme("http")
@@ -77,7 +73,7 @@
     *request.version_mut() = hyper::Version::HTTP_2;
     let (terms, attempt) = plan.offer.clone().split();
     let sent = wire::SentOffer {
-        sent_ms: context.started.elapsed().as_millis() as u32,
+        sent_ms: trace::boot_time().as_millis() as u64,
         attempt,
     };
     let headers = request.headers_mut();
--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -43,7 +43,7 @@
     let sent = http::take_record(headers, wire::OFFER_HEADER);
     let offer = terms
         .zip(sent)
-        .map(|(terms, sent)| take_offer(&context, transit, terms, sent));
+        .map(|(terms, sent)| take_offer(transit, terms, sent));
     trace::take_clock(&context.clock, request.headers_mut());
     let Some(offer) = offer else {
         return refused(&not_run(code::ResultCode::MessageInvalid));
@@ -56,14 +56,12 @@
 
 /// The offer with what is left of its time after its way here.
 fn take_offer(
-    context: &process::ProcessContext,
     transit: &Mutex<transit::TransitMeter>,
     terms: wire::OfferTerms,
     sent: wire::SentOffer,
 ) -> wire::CallOffer {
     let mut offer = wire::CallOffer::join(terms, sent.attempt);
-    let sent = Duration::from_millis(u64::from(sent.sent_ms));
-    let came = context.started.elapsed();
+    let (sent, came) = (Duration::from_millis(sent.sent_ms), trace::boot_time());
     let mut meter = transit.lock().expect("no holder of the lock panics");
     offer.spend(meter.note(sent, came));
     offer
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -7,7 +7,7 @@
         Arc,
         atomic::{AtomicU64, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use hazeltiller_catalogue::{change, state as catalogue_state};
@@ -103,8 +103,6 @@
     pub timeline: timeline::Timeline,
     /// The clock that messages and events are stamped with.
     pub clock: timeline::HybridClock,
-    /// When the process started, by its steady clock.
-    pub started: Instant,
     /// Gives ids to requests.
     pub request_ids: trace::RequestIds,
     last_call: AtomicU64,
@@ -323,7 +321,6 @@
         metrics,
         timeline,
         clock,
-        started: Instant::now(),
         request_ids: trace::RequestIds::default(),
         last_call: AtomicU64::new(0),
     }))
--- a/crates/daemon/src/trace.rs
+++ b/crates/daemon/src/trace.rs
@@ -1,6 +1,9 @@
 //! The id of a request and the clock, as they travel in headers.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::{
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
 
 use hazeltiller_units::ids;
 use hazeltiller_wire::calls as wire;
@@ -58,6 +61,13 @@
     headers.insert(wire::REQUEST_HEADER, value);
 }
 
+/// Time since the machine started, the time in which it was suspended included: a clock that stood
+/// still meanwhile would make all that is sent after it seem late.
+pub fn boot_time() -> Duration {
+    let now = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    Duration::new(now.tv_sec as u64, now.tv_nsec as u32)
+}
+
 /// Puts the time into the headers of what is sent to another node.
 pub fn send_clock(clock: &timeline::HybridClock, headers: &mut HeaderMap) {
     let value = http::passing_value(&clock.tick());
--- a/crates/engine/src/calls/ingress.rs
+++ b/crates/engine/src/calls/ingress.rs
@@ -124,7 +124,7 @@
     let times = terms::TryTimes {
         attempt: record.arrived_attempt + tries,
         deadline_left: record.deadline.since(now),
-        latency_left: reachable(record.latency_until.since(now), candidate.expected),
+        latency_left: reachable(record.latency_until.since(now), candidate.shortest_run),
         patience: candidate.patience.filter(|_| has_places_left),
     };
     let offer = record.terms.offer(candidate.target.clone(), times);
@@ -139,10 +139,10 @@
     true
 }
 
-/// What is left of the target latency, or nothing where not even the best target is expected to answer
-/// within it.
-fn reachable(left: Duration, expected: Option<Duration>) -> Duration {
-    if expected.is_some_and(|expected| expected > left) {
+/// What is left of the target latency, or nothing where not even the fastest of the targets compared
+/// answers within it.
+fn reachable(left: Duration, shortest_run: Option<Duration>) -> Duration {
+    if shortest_run.is_some_and(|run| run > left) {
         Duration::ZERO
     } else {
         left
--- a/crates/engine/src/calls/transit.rs
+++ b/crates/engine/src/calls/transit.rs
@@ -4,15 +4,16 @@
 //! can, it may wait for longer than that, and so does the word that its caller has left, which follows it
 //! on the same connection: without a look at the way, the target would run calls that nobody waits for.
 //!
-//! The clocks of two nodes cannot be compared, but their steady clocks run alike: of the offers of one
-//! connection, the one that was on its way for the shortest time shows by how much they differ, and the
-//! others were late by what they show beyond that. A suspended node's steady clock stands still, which
-//! makes its offers seem late; so the shortest counts for a few seconds only.
+//! The clocks of two nodes cannot be compared, and those of the day jump. But their boot clocks run
+//! alike, also while a node is suspended: of the offers of one connection, the one that was on its way
+//! for the shortest time shows by how much they differ, and the others were late by what they show
+//! beyond that. The shortest counts for a few seconds only, so that clocks may drift, and that a clock
+//! which did stand still makes offers seem late no longer than that.
 
 use std::time::Duration;
 
-/// Time for which the shortest way counts at least, and at most twice: a suspended node is taken for
-/// slow no longer than that, and a link that is choked all the while passes for a slow one after it.
+/// Time for which the shortest way counts at least, and at most twice. A link that is choked all the
+/// while passes for a slow one after it.
 const WINDOW: Duration = Duration::from_secs(2);
 
 /// What the offers of one connection show of its way.
@@ -25,7 +26,7 @@
 }
 
 impl TransitMeter {
-    /// Takes an offer by the sender's steady clock as it was sent and by the receiver's as it came;
+    /// Takes an offer by the sender's boot clock as it was sent and by the receiver's as it came;
     /// returns how much longer it was on its way than the fastest one lately.
     pub fn note(&mut self, sent: Duration, came: Duration) -> Duration {
         if came.saturating_sub(self.window_began) >= WINDOW {
--- a/crates/engine/src/routing.rs
+++ b/crates/engine/src/routing.rs
@@ -41,8 +41,8 @@
     pub address: SocketAddr,
     /// Longest wait for which no other target is better; absent: any.
     pub patience: Option<Duration>,
-    /// Time of a run there, where it was compared by that and has shown one.
-    pub expected: Option<Duration>,
+    /// Shortest time of a run among the targets that it was compared with, where one is known.
+    pub shortest_run: Option<Duration>,
 }
 
 /// A choice among a service's targets.
@@ -52,7 +52,7 @@
     place: usize,
     patience: Option<Duration>,
     /// Shortest time of a run among those compared.
-    expected: Option<Duration>,
+    shortest_run: Option<Duration>,
 }
 
 impl TargetChoice {
@@ -61,7 +61,7 @@
         Self {
             place,
             patience: None,
-            expected: None,
+            shortest_run: None,
         }
     }
 }
@@ -161,7 +161,7 @@
         instance: target.instance.clone(),
         address: target.address,
         patience: choice.patience,
-        expected: choice.expected,
+        shortest_run: choice.shortest_run,
     })
 }
 
--- a/crates/engine/src/routing/expected.rs
+++ b/crates/engine/src/routing/expected.rs
@@ -61,7 +61,7 @@
     expected.sort_by(|one, other| one.total_s.total_cmp(&other.total_s));
     let best = expected.first()?;
     let runs = expected.iter().filter_map(|target| target.run_s);
-    let shortest = runs.min_by(f64::total_cmp).map(Duration::from_secs_f64);
+    let shortest_run = runs.min_by(f64::total_cmp).map(Duration::from_secs_f64);
     let patience = expected.get(1).map(|next| {
         let better_until = best.wait_s + next.total_s - best.total_s;
         Duration::from_secs_f64(better_until.max(0.0) + offer_s)
@@ -69,7 +69,7 @@
     Some(TargetChoice {
         place: best.place,
         patience,
-        expected: shortest,
+        shortest_run,
     })
 }
 
@@ -92,9 +92,10 @@
     let targets = state.routing.table.of_service(request.service);
     let weight = |place: &usize| {
         let target = &targets[*place];
-        f64::from(target.slots) / run_time(state, target).unwrap_or(typical)
+        f64::from(target.slots.max(1)) / run_time(state, target).unwrap_or(typical)
     };
     let weights: Vec<(usize, f64)> = places.iter().map(|place| (*place, weight(place))).collect();
+    // Weights are positive and finite, so that this does not fail; without it any target may do.
     let drawn = weights.sample_weighted(&mut state.random, amount, |(_, weight)| *weight);
     drawn.map_or_else(
         |_no_weight| Vec::new(),
--- a/crates/engine/src/routing/offer.rs
+++ b/crates/engine/src/routing/offer.rs
@@ -1,9 +1,9 @@
 //! What it costs to ask another node.
 //!
-//! An offer that is given back has taken a round trip and the work of both nodes, and on a small
-//! machine under load that work waits: where a node has a tenth of a core, some tens of milliseconds.
-//! The cost is measured, so that nodes which are short of processor time ask fewer others: they leave
-//! a call where it waits a little, and prefer their own target.
+//! An offer that is given back has taken a round trip and the work of both nodes: some tens of
+//! milliseconds where a node has a narrow link or a tenth of a core. The cost is measured, so that nodes
+//! which are short of either ask fewer others: they leave a call where it waits a little, and prefer
+//! their own target.
 
 use std::time::Duration;
 
--- a/crates/engine/tests/transit.rs
+++ b/crates/engine/tests/transit.rs
@@ -25,9 +25,9 @@
     assert_eq!(meter.note(millis(300), millis(start + 351)), millis(50));
 }
 
-/// A sender that was suspended for three seconds seems late by them, until a few seconds have passed.
+/// A sender whose clock stood still for three seconds seems late by them for a few seconds only.
 #[test]
-fn suspended_sender() {
+fn stopped_clock() {
     let mut meter = transit::TransitMeter::default();
     meter.note(millis(0), millis(1000));
     let mut late = Vec::new();
--- a/crates/wire/src/calls.rs
+++ b/crates/wire/src/calls.rs
@@ -239,8 +239,8 @@
 /// The part of an offer that differs from call to call, as it is sent.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SentOffer {
-    /// The sender's steady clock, in milliseconds since it started.
-    pub sent_ms: u32,
+    /// The sender's boot clock, in milliseconds.
+    pub sent_ms: u64,
     /// The offer's part.
     pub attempt: OfferTry,
 }
