--- a/crates/engine/tests/transit.rs
+++ b/crates/engine/tests/transit.rs
@@ -71,3 +71,14 @@
         }
     }
 }
+
+/// A link that is choked for longer than a few seconds does not pass for a slow one: its offers are as
+/// late as those that choked it first.
+#[test]
+fn choked_for_long() {
+    let mut meter = transit::TransitMeter::default();
+    meter.note(millis(0), millis(1000));
+    let late = (1..9).map(|second| meter.note(millis(second * 1000), millis(second * 1000 + 1800)));
+    let late: Vec<Duration> = late.collect();
+    assert_eq!(late, [millis(800); 8]);
+}
