Time on the way is measured by peer over a minute: a long choke hides nothing

Cause: the fastest offer of the last 2 to 4 s of one connection was the measure, so a link choked for longer, or opened while choked, passed for a slow one.

--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -1,8 +1,8 @@
 //! The peers listener: greets, then reads messages or serves calls.
 
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 
-use hazeltiller_engine::{calls::transit, event};
+use hazeltiller_engine::event;
 use hazeltiller_wire::{codec, handshake as wire, membership, message};
 use hyper::{server::conn::http2, service};
 use hyper_util::rt;
@@ -29,7 +29,13 @@
         Ok(greeted) => greeted,
         Err(error) => {
             count_refusal(&context, &error);
-            return log::warn!("peer refused: {error}");
+            // A peer that dialled more than once leaves all connections but one.
+            let level = if error.code().is_some() {
+                log::Level::Warn
+            } else {
+                log::Level::Debug
+            };
+            return log::log!(level, "peer refused: {error}");
         }
     };
     match purpose {
@@ -39,7 +45,7 @@
                 log::debug!("link from {} ended: {error}", identity.instance);
             }
         }
-        wire::LinkPurpose::Calls => serve_calls(context, stream).await,
+        wire::LinkPurpose::Calls => serve_calls(context, &identity, stream).await,
         wire::LinkPurpose::Questions => questions::serve(context, stream).await,
     }
 }
@@ -81,9 +87,13 @@
     }
 }
 
-async fn serve_calls(context: Arc<process::ProcessContext>, stream: TcpStream) {
+async fn serve_calls(
+    context: Arc<process::ProcessContext>,
+    from: &membership::PeerIdentity,
+    stream: TcpStream,
+) {
     let shared = Arc::clone(&context);
-    let transit = Arc::new(Mutex::new(transit::TransitMeter::default()));
+    let transit = context.transit.of_peer(&from.instance, from.incarnation);
     let service = service::service_fn(move |request| {
         let (context, transit) = (Arc::clone(&shared), Arc::clone(&transit));
         async move {
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -12,7 +12,8 @@
 
 use hazeltiller_catalogue::{change, state as catalogue_state};
 use hazeltiller_engine::{
-    event, ledger, reducer, replication, settings as engine_settings, timeline as engine_timeline,
+    calls::transit, event, ledger, reducer, replication, settings as engine_settings,
+    timeline as engine_timeline,
 };
 use hazeltiller_store::{claims as store_claims, error as store_error, file as store_file};
 use hazeltiller_units::{code, ids, time as unit_time};
@@ -79,6 +80,8 @@
     pub bytes: byte_counts::ByteCounts,
     /// Connections to other nodes.
     pub nodes: pool::NodePool,
+    /// How long offers of other nodes are on their way.
+    pub transit: transit::MeterTable,
     /// Connections to own targets.
     pub targets: pool::TargetPool,
     /// How callers, targets and operators speak.
@@ -310,6 +313,7 @@
         in_force,
         bytes,
         nodes: pool::NodePool::new(credentials.clone()),
+        transit: transit::MeterTable::default(),
         targets: pool::TargetPool::default(),
         dialects: options.dialects,
         caller: settings.caller_service.clone(),
--- a/crates/engine/tests/transit.rs
+++ b/crates/engine/tests/transit.rs
@@ -82,3 +82,19 @@
     let late: Vec<Duration> = late.collect();
     assert_eq!(late, [millis(800); 8]);
 }
+
+/// A connection that opens while the link is choked is measured by what the ones before it showed; one of
+/// another life of the peer, whose machine may have started again, is not.
+#[test]
+fn opened_while_choked() {
+    let meters = transit::MeterTable::default();
+    let peer: ids::InstanceName = "node-2".parse().expect("it is a name");
+    let note = |life: u64, sent, came| {
+        let meter = meters.of_peer(&peer, ids::IncarnationNumber(life));
+        let mut meter = meter.lock().expect("nobody panics");
+        meter.note(millis(sent), millis(came))
+    };
+    assert_eq!(note(1, 0, 1000), millis(0));
+    assert_eq!(note(1, 500, 2300), millis(800));
+    assert_eq!(note(2, 600, 2400), millis(0));
+}
