Lives of targets: one that starts again under its name holds nothing of before

An announcement of an older life is late, a newer one ends slots in use, queue, health, measured times and ejection, at its node and wherever its record comes by gossip. Announcements for a service that nobody has named displace no known target.

--- a/benches/dissemination/codec.rs
+++ b/benches/dissemination/codec.rs
@@ -176,6 +176,7 @@
             slots: 10,
             connections: 130,
             state: membership::TargetState::Ready,
+            incarnation: ids::IncarnationNumber::default(),
         }],
     }
 }
--- a/crates/daemon/src/dialect/own.rs
+++ b/crates/daemon/src/dialect/own.rs
@@ -72,6 +72,9 @@
     connections: u32,
     state: wire_membership::TargetState,
     lease_ms: u32,
+    /// Its life under this name, where it tells: larger after each restart.
+    #[serde(default)]
+    incarnation: ids::IncarnationNumber,
 }
 
 /// A refusal of an announcement.
@@ -138,6 +141,7 @@
         slots: document.slots,
         connections: document.connections,
         state: document.state,
+        incarnation: document.incarnation,
     };
     let lease = Duration::from_millis(u64::from(document.lease_ms));
     Ok(TargetWish::Announce(membership::TargetAnnouncement {
--- a/crates/engine/src/admission.rs
+++ b/crates/engine/src/admission.rs
@@ -121,6 +121,11 @@
     admission.queue.pop().map(|(queued, _rank)| queued.call)
 }
 
+/// Forgets the slots in use, the queue and the pace of a target that started again.
+pub fn end_life(state: &mut reducer::EngineState, target: &ids::TargetName) {
+    state.admission.targets.shift_remove(target);
+}
+
 /// Frees the slot of a run that ended and learns from it.
 pub fn end_run(
     state: &mut reducer::EngineState,
--- a/crates/engine/src/calls.rs
+++ b/crates/engine/src/calls.rs
@@ -18,7 +18,7 @@
 pub mod transit;
 pub mod usual;
 
-pub use owner::evict;
+pub use owner::{end_life, evict};
 
 /// A request that a caller sent to this node.
 #[derive(Debug, Clone, PartialEq)]
@@ -204,6 +204,8 @@
 pub struct OwnerCall {
     /// The offer.
     pub offer: wire::CallOffer,
+    /// Life of its target that it was admitted to.
+    pub life: ids::IncarnationNumber,
     /// When it must be over.
     pub deadline: time::MonotonicTime,
     /// When it got a slot; absent while it waits.
--- a/crates/engine/src/calls/owner.rs
+++ b/crates/engine/src/calls/owner.rs
@@ -40,6 +40,7 @@
         return output.refuse(call, refusal);
     }
     let record = calls::OwnerCall {
+        life: life_of(state, &offer.target),
         offer,
         deadline,
         started: None,
@@ -69,6 +70,24 @@
     }
 }
 
+/// Forgets what belongs to a life of a target that is over: what waits is given back, and what runs
+/// holds no slot of the next life.
+pub fn end_life(
+    state: &mut reducer::EngineState,
+    target: &ids::TargetName,
+    output: &mut event::ReducerOutput,
+) {
+    evict(state, target, output);
+    admission::end_life(state, target);
+    health::end_life(state, target);
+}
+
+/// The life that an own target is in.
+fn life_of(state: &reducer::EngineState, target: &ids::TargetName) -> ids::IncarnationNumber {
+    let own = state.membership.targets.get(target);
+    own.map_or_else(Default::default, |own| own.record.incarnation)
+}
+
 fn refuse_displaced(
     state: &mut reducer::EngineState,
     call: ids::CallId,
@@ -129,6 +148,11 @@
     let Some(started) = record.started else {
         return admission::forget(state, &offer.target, call);
     };
+    let is_of_this_life = record.life == life_of(state, &offer.target);
+    let is_known = state.membership.targets.contains_key(&offer.target);
+    if is_known && !is_of_this_life {
+        return;
+    }
     let is_late = record.deadline <= state.now;
     health::end_run(state, &offer.target, result, is_late);
     if result == calls::RunResult::Misplaced {
--- a/crates/engine/src/health.rs
+++ b/crates/engine/src/health.rs
@@ -109,6 +109,11 @@
     health.outcomes.note(is_good, state.now, half_life);
 }
 
+/// Forgets the outcomes of a target that started again.
+pub fn end_life(state: &mut reducer::EngineState, target: &ids::TargetName) {
+    state.health.own.shift_remove(target);
+}
+
 /// Takes an event of health.
 pub fn take(state: &mut reducer::EngineState, event: HealthEvent) {
     let HealthEvent::Probed { target, is_good } = event;
--- a/crates/engine/src/membership/own.rs
+++ b/crates/engine/src/membership/own.rs
@@ -33,7 +33,9 @@
 /// A target that left.
 #[derive(Debug, Clone, Copy)]
 pub struct DepartedTarget {
-    /// Announcements up to this number are older than its leaving; absent: all of them are.
+    /// Its last life.
+    incarnation: ids::IncarnationNumber,
+    /// Announcements of that life up to this number are older than its leaving; absent: all of them are.
     sequence: Option<u64>,
     until: time::MonotonicTime,
 }
@@ -44,6 +46,13 @@
     announcement: membership::TargetAnnouncement,
     output: &mut event::ReducerOutput,
 ) {
+    if is_foreign(state, &announcement.record) {
+        let record = announcement.record;
+        return output.note(timeline::TimelineEvent::AnnouncementForeign {
+            target: record.name,
+            service: record.service,
+        });
+    }
     if is_outdated(state, &announcement) {
         let record = announcement.record;
         return output.note(timeline::TimelineEvent::AnnouncementOutdated {
@@ -59,8 +68,16 @@
         give_way(state, &record, output);
     }
     let known = state.membership.targets.get(&name);
+    let is_restart = known.is_some_and(|known| known.record.incarnation < record.incarnation);
     let is_news = known.is_none_or(|known| known.record != record);
     let is_ready = record.state == wire::TargetState::Ready;
+    if is_restart {
+        output.note(timeline::TimelineEvent::TargetRestarted {
+            target: name.clone(),
+            incarnation: record.incarnation,
+        });
+        calls::end_life(state, &name, output);
+    }
     if is_news {
         output.note(timeline::TimelineEvent::TargetAnnounced {
             target: name.clone(),
@@ -82,26 +99,63 @@
     }
 }
 
-/// Whether an announcement was held up on the way: something later is known already.
+/// Whether an announcement is none of this node's target: it names a service that the catalogue lacks,
+/// and the name or the address of one whose service the catalogue has.
+fn is_foreign(state: &reducer::EngineState, record: &wire::TargetRecord) -> bool {
+    let catalogue = &state.dissemination.in_force;
+    let is_known = |service| catalogue.service(service).is_some();
+    let mut targets = state.membership.targets.values();
+    !is_known(&record.service)
+        && targets.any(|known| {
+            let known = &known.record;
+            is_known(&known.service)
+                && (known.name == record.name || known.address == record.address)
+        })
+}
+
+/// Whether an announcement was held up on the way: something later is known already. The life decides
+/// before the number, which begins anew with each life. A life whose lease has lapsed binds nobody, so
+/// that a target whose clock stepped back is taken again after that time.
 fn is_outdated(
     state: &reducer::EngineState,
     announcement: &membership::TargetAnnouncement,
 ) -> bool {
-    let Some(sequence) = announcement.sequence else {
-        return false;
-    };
     let record = &announcement.record;
+    let life = record.incarnation;
     if let Some(known) = state.membership.targets.get(&record.name) {
-        return known.sequence.is_some_and(|last| sequence <= last);
+        let last = known.record.incarnation;
+        let is_late = || is_up_to(announcement.sequence, known.sequence);
+        return life < last || life == last && is_late();
     }
     if let Some(departed) = state.membership.departed.get(&record.name)
         && departed.until > state.now
     {
-        return departed.sequence.is_none_or(|last| sequence <= last);
+        let is_late = || match departed.sequence {
+            None => announcement.sequence.is_some(),
+            last => is_up_to(announcement.sequence, last),
+        };
+        return life < departed.incarnation || life == departed.incarnation && is_late();
     }
-    let mut others = state.membership.targets.values();
-    let is_taken = others.any(|other| other.record.address == record.address);
-    is_taken && sequence > FIRST_SEQUENCES
+    let others = state.membership.targets.values();
+    let mut others = others.filter(|other| other.record.address == record.address);
+    others.any(|other| {
+        let taken = other.record.incarnation;
+        let are_told = [life, taken].iter().all(|life| life.0 > 0);
+        if are_told {
+            life < taken
+        } else {
+            announcement
+                .sequence
+                .is_some_and(|sequence| sequence > FIRST_SEQUENCES)
+        }
+    })
+}
+
+/// Whether an announcement is not above the last one of its life, where both are counted.
+fn is_up_to(sequence: Option<u64>, last: Option<u64>) -> bool {
+    sequence
+        .zip(last)
+        .is_some_and(|(sequence, last)| sequence <= last)
 }
 
 /// Ends every other target at the address of one that has just started there.
@@ -151,7 +205,13 @@
     let until = now + kept;
     let departed = &mut state.membership.departed;
     departed.retain(|_, departed| departed.until > now);
-    departed.insert(name.clone(), DepartedTarget { sequence, until });
+    let known = state.membership.targets.get(name);
+    let record = DepartedTarget {
+        incarnation: known.map_or_else(Default::default, |known| known.record.incarnation),
+        sequence,
+        until,
+    };
+    departed.insert(name.clone(), record);
 }
 
 /// Withdraws a target.
--- a/crates/engine/src/routing/table.rs
+++ b/crates/engine/src/routing/table.rs
@@ -49,6 +49,8 @@
     pub is_reachable: bool,
     /// Requests that it runs at once, by its announcement and its service's limit.
     pub slots: u32,
+    /// Its life under its name.
+    pub life: ids::IncarnationNumber,
 }
 
 /// Ready targets by service.
@@ -85,7 +87,9 @@
     let by_service = build(state);
     for target in by_service.values().flatten() {
         let view = state.routing.views.entry(target.target.clone());
-        view.or_insert_with(|| routing::TargetView::first_seen(state.now, is_first));
+        let first = || routing::TargetView::first_seen(state.now, is_first, target.life);
+        view.or_insert_with(first)
+            .begin_life(target.life, state.now);
     }
     // A target that was away and is ready again starts slowly again.
     let known: indexmap::IndexSet<&ids::TargetName> = by_service
@@ -119,6 +123,7 @@
                 is_reachable: member.identity.instance == own.instance
                     || state.membership.is_reachable(&member.identity.instance),
                 slots,
+                life: record.incarnation,
             };
             let of_service = by_service.entry(record.service.clone()).or_default();
             of_service.push(target);
--- a/crates/engine/src/routing/view.rs
+++ b/crates/engine/src/routing/view.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hazeltiller_units::time;
+use hazeltiller_units::{ids, time};
 use hazeltiller_wire::calls as wire;
 
 use crate::health;
@@ -17,6 +17,8 @@
 pub struct TargetView {
     /// Calls of this process that it has not finished.
     pub outstanding: u32,
+    /// The life that this is known of.
+    life: ids::IncarnationNumber,
     /// What outcomes say of it.
     pub health: health::EjectionState,
     /// When it was first seen ready; absent when it was ready before this process looked.
@@ -35,15 +37,30 @@
 
 impl TargetView {
     /// The view of a target that is seen for the first time.
-    pub fn first_seen(now: time::MonotonicTime, was_ready_before: bool) -> Self {
+    pub fn first_seen(
+        now: time::MonotonicTime,
+        was_ready_before: bool,
+        life: ids::IncarnationNumber,
+    ) -> Self {
         Self {
             outstanding: 0,
+            life,
             health: health::EjectionState::default(),
             ready_since: (!was_ready_before).then_some(now),
             report: None,
         }
     }
 
+    /// Forgets what was measured and believed of an earlier life; calls count until they end.
+    pub fn begin_life(&mut self, life: ids::IncarnationNumber, now: time::MonotonicTime) {
+        if self.life != life {
+            *self = Self {
+                outstanding: self.outstanding,
+                ..Self::first_seen(now, false, life)
+            };
+        }
+    }
+
     /// Takes a report that came with an answer, while the answered call is still counted.
     pub fn take_report(&mut self, load: wire::LoadReport, now: time::MonotonicTime) {
         let of_others = (load.in_flight + load.queued).saturating_sub(self.outstanding);
--- a/crates/engine/src/timeline.rs
+++ b/crates/engine/src/timeline.rs
@@ -163,6 +163,21 @@
         /// Number of the announcement.
         sequence: u64,
     },
+    /// An announcement names a service that the catalogue lacks and the name or address of a target that
+    /// is known: the known one stays.
+    AnnouncementForeign {
+        /// The target that it names.
+        target: ids::TargetName,
+        /// The service.
+        service: ids::EntryName,
+    },
+    /// An own target started again under its name: nothing of its earlier life holds.
+    TargetRestarted {
+        /// Its name.
+        target: ids::TargetName,
+        /// Its new life.
+        incarnation: ids::IncarnationNumber,
+    },
     /// An own target announced something new.
     TargetAnnounced {
         /// Its name.
--- a/crates/engine/tests/announcements.rs
+++ b/crates/engine/tests/announcements.rs
@@ -26,9 +26,19 @@
     name: &str,
     sequence: u64,
     state: wire_membership::TargetState,
+) -> Vec<calls::CallEffect> {
+    announce_life(node, name, (0, sequence), state)
+}
+
+fn announce_life(
+    node: &mut node::NodeReducer,
+    name: &str,
+    (life, sequence): (u64, u64),
+    state: wire_membership::TargetState,
 ) -> Vec<calls::CallEffect> {
     let record = wire_membership::TargetRecord {
         state,
+        incarnation: ids::IncarnationNumber(life),
         ..node::target(name, "registru", 1)
     };
     let announcement = membership::TargetAnnouncement {
@@ -132,3 +142,94 @@
     announce(&mut node, "one", 6, READY);
     assert_eq!(state_of(&node, "one"), Some(READY), "it is there again");
 }
+
+/// A target that starts again under its name holds nothing of before: not what runs or waits, not that it
+/// was draining; what is late of its earlier life changes nothing.
+#[test]
+fn same_name_restarts() {
+    let mut node = started();
+    announce_life(&mut node, "one", (100, 7), READY);
+    offer(&mut node, 1);
+    assert!(offer(&mut node, 2).is_empty(), "it waits for the one slot");
+    let effects = announce_life(&mut node, "one", (200, 1), READY);
+    let refusal = refused(&effects, 2).expect("what waits goes elsewhere");
+    assert!(refusal.elsewhere && refusal.outcome == wire::CallOutcome::NotRun);
+    let runs = |effects: &[calls::CallEffect]| matches!(effects, [calls::CallEffect::Run(..)]);
+    assert!(runs(&offer(&mut node, 3)), "the new life's slot is free");
+    // The run that the old life took along frees no slot of the new one.
+    let result = calls::RunResult::Crashed;
+    let call = ids::CallId(1);
+    node.call(calls::CallEvent::RunEnded { call, result });
+    assert!(offer(&mut node, 4).is_empty(), "the slot is taken");
+    announce_life(&mut node, "one", (100, 8), DRAINING);
+    assert_eq!(state_of(&node, "one"), Some(READY));
+    announce_life(&mut node, "one", (200, 2), DRAINING);
+    assert_eq!(state_of(&node, "one"), Some(DRAINING));
+    announce_life(&mut node, "one", (300, 1), READY);
+    assert_eq!(state_of(&node, "one"), Some(READY));
+}
+
+#[test]
+fn gone_and_back() {
+    let mut node = started();
+    announce_life(&mut node, "one", (100, 7), READY);
+    withdraw(&mut node, "one");
+    announce_life(&mut node, "one", (100, 8), READY);
+    assert_eq!(
+        state_of(&node, "one"),
+        None,
+        "it was on its way when it left"
+    );
+    announce_life(&mut node, "one", (200, 1), READY);
+    assert_eq!(state_of(&node, "one"), Some(READY));
+}
+
+/// Of two at one address the one that started later has it, whatever the numbers of their announcements.
+#[test]
+fn later_life_has_address() {
+    let mut node = started();
+    announce_life(&mut node, "old", (100, 9), READY);
+    announce_life(&mut node, "new", (200, 5), READY);
+    assert_eq!(state_of(&node, "old"), None);
+    announce_life(&mut node, "older", (90, 1), READY);
+    assert_eq!(state_of(&node, "older"), None);
+    assert_eq!(state_of(&node, "new"), Some(READY));
+}
+
+/// A clock that stepped back between two starts keeps a target out for its lease only.
+#[test]
+fn clock_stepped_back() {
+    let mut node = started();
+    announce_life(&mut node, "one", (500, 7), READY);
+    node.pass(LEASE / 2);
+    announce_life(&mut node, "one", (300, 1), READY);
+    node.pass(LEASE / 2);
+    assert_eq!(state_of(&node, "one"), None);
+    announce_life(&mut node, "one", (300, 2), READY);
+    assert_eq!(state_of(&node, "one"), Some(READY));
+}
+
+/// An announcement of another writer, for a service that nobody has named, displaces nobody.
+#[test]
+fn foreign_displaces_nobody() {
+    let mut node = started();
+    announce(&mut node, "one", 1, READY);
+    for name in ["one", "stranger"] {
+        let record = node::target(name, "unknown", 1);
+        let announcement = membership::TargetAnnouncement {
+            record,
+            lease: LEASE,
+            sequence: Some(2),
+        };
+        let event = membership::MembershipEvent::Announced(announcement);
+        node.reduce(event::Event::Membership(event));
+        assert_eq!(state_of(&node, "one"), Some(READY));
+        assert!(matches!(
+            offer(&mut node, 1)[..],
+            [calls::CallEffect::Run(..)]
+        ));
+        let (call, result) = (ids::CallId(1), calls::RunResult::Done { status: 200 });
+        node.call(calls::CallEvent::RunEnded { call, result });
+    }
+    assert_eq!(state_of(&node, "stranger"), None);
+}
--- a/crates/testkit/src/node.rs
+++ b/crates/testkit/src/node.rs
@@ -133,6 +133,7 @@
         slots,
         connections: 100,
         state: wire_membership::TargetState::Ready,
+        incarnation: ids::IncarnationNumber::default(),
     }
 }
 
--- a/crates/units/src/ids.rs
+++ b/crates/units/src/ids.rs
@@ -182,7 +182,7 @@
     CallId
 );
 number_type!(
-    /// One life of a process: larger after each restart.
+    /// One life of a process or a target: larger after each restart.
     IncarnationNumber
 );
 
--- a/crates/wire/src/handshake.rs
+++ b/crates/wire/src/handshake.rs
@@ -11,7 +11,7 @@
 use crate::membership;
 
 /// Version of the handshake and of the messages behind it.
-pub const WIRE_VERSION: u16 = 2;
+pub const WIRE_VERSION: u16 = 3;
 /// Largest frame of the handshake, in bytes.
 pub const LARGEST_GREETING: usize = 4096;
 
--- a/crates/wire/src/membership.rs
+++ b/crates/wire/src/membership.rs
@@ -56,6 +56,8 @@
     pub connections: u32,
     /// What it says of itself.
     pub state: TargetState,
+    /// Its life under this name, larger after each restart; zero where targets do not tell.
+    pub incarnation: ids::IncarnationNumber,
 }
 
 /// A member as it publishes itself.
--- a/crates/wire/tests/decoders.rs
+++ b/crates/wire/tests/decoders.rs
@@ -165,6 +165,7 @@
             slots: 10,
             connections: 130,
             state: membership::TargetState::Ready,
+            incarnation: ids::IncarnationNumber::default(),
         }],
     };
     let step = delta::DeltaStep { term, set };
