--- a/crates/daemon/src/drain.rs
+++ b/crates/daemon/src/drain.rs
@@ -1,7 +1,8 @@
 //! The graceful stop of a process, step by step.
 //!
-//! A stopping node first tells its peers and goes on serving, since callers and peers need a
-//! moment to turn away; only then it stops accepting, and it ends when nothing is in flight.
+//! A stopping node first goes on serving, since callers need a moment to turn away. Its peers turn away
+//! sooner, so it may tell them later: until then its target, which no other node reaches, does not stand
+//! idle. Only then it stops accepting, and it ends when nothing is in flight.
 
 use std::time::Duration;
 
@@ -61,10 +62,15 @@
 pub async fn stop(context: &process::ProcessContext) {
     let tunables = &context.requests;
     context.drain.phase.send_replace(DrainPhase::Leaving);
+    let is_node = context.credentials.identity.is_node;
+    let before = tunables.leave_ms.saturating_sub(tunables.tell_ms);
+    if is_node {
+        time::sleep(Duration::from_millis(before)).await;
+    }
     let leaving = membership::MembershipEvent::Leave;
     context.engine.tell(event::Event::Membership(leaving));
-    if context.credentials.identity.is_node {
-        time::sleep(Duration::from_millis(tunables.leave_ms)).await;
+    if is_node {
+        time::sleep(Duration::from_millis(tunables.leave_ms - before)).await;
     }
     context.drain.phase.send_replace(DrainPhase::Closing);
     let finished = context.drain.in_flight.closed();
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -91,6 +91,9 @@
         head_ms = 30_000, 100..=600_000;
         /// Time that a stopping node goes on taking requests, for its peers to learn of it, in milliseconds.
         leave_ms = 2000, 0..=60_000;
+        /// The last part of it, for which its peers know and offer its target nothing more, in
+        /// milliseconds; before that they go on offering. More than `leave_ms` tells them at once.
+        tell_ms = 60_000, 0..=60_000;
         /// Longest time that a stopping node waits for requests in flight, in milliseconds.
         finish_ms = 30_000, 0..=600_000;
     }
--- a/tests/all/links.rs
+++ b/tests/all/links.rs
@@ -131,3 +131,23 @@
     let is_broken = matches!(answered, Err(pool::SendError::Broken { .. }));
     assert!(is_broken, "{answered:?}");
 }
+
+/// Calls to a node that cannot be reached share one dial, and each is told that nothing of it was sent.
+#[tokio::test(flavor = "multi_thread")]
+async fn dial_shared() {
+    let (listener, address) = listen().await;
+    let nodes = pool::NodePool::new(credentials("own"));
+    let send = || {
+        let request = Request::get(format!("http://{address}/")).body(http::full_body(""));
+        nodes.send(address, request.expect("it is a URI"))
+    };
+    // The node takes connections and says nothing.
+    let (one, other, third) = tokio::join!(send(), send(), send());
+    for sent in [one, other, third] {
+        let is_unsent = matches!(sent, Err(pool::SendError::NotConnected { .. }));
+        assert!(is_unsent, "{sent:?}");
+    }
+    let listener = listener.into_std().expect("it is bound");
+    let dials = std::iter::from_fn(|| listener.accept().ok()).count();
+    assert_eq!(dials, 1);
+}
