A stop does not wait for peers that are cut off

A calls link is left 0.3 s after its last call has ended. Ruled out: callers' connections (they end with their calls). Test: silent_peer_left (hung until the process was killed).

--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -1,18 +1,24 @@
 //! The peers listener: greets, then reads messages or serves calls.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use hazeltiller_engine::event;
 use hazeltiller_wire::{codec, handshake as wire, membership, message};
+use http_body_util::BodyExt;
 use hyper::{server::conn::http2, service};
 use hyper_util::rt;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
+    sync::watch,
+    time,
 };
 
 use crate::{drain, handshake, links, listener, owner, process, questions};
 
+/// Time in which a peer takes the end of the last answer, once a stopping node has given it.
+const GOODBYE_TIME: Duration = Duration::from_millis(300);
+
 /// Room for the headers that a node adds to a caller's, in bytes.
 const LARGEST_OFFER: u32 = 8192;
 
@@ -94,10 +100,19 @@
 ) {
     let shared = Arc::clone(&context);
     let transit = context.transit.of_peer(&from.instance, from.incarnation);
+    // Each call holds a receiver until its answer is handed over; none is left when all have ended.
+    let calls = watch::Sender::new(());
+    let call = calls.clone();
     let service = service::service_fn(move |request| {
         let (context, transit) = (Arc::clone(&shared), Arc::clone(&transit));
+        let held = call.subscribe();
         async move {
             let response = owner::serve_offer(context, &transit, request).await;
+            let holding = move |frame| {
+                let _held = &held;
+                frame
+            };
+            let response = response.map(|body| body.map_frame(holding).boxed_unsync());
             Ok::<_, std::convert::Infallible>(response)
         }
     });
@@ -113,7 +128,17 @@
         served = connection.as_mut() => served,
         () = context.drain.reached(drain::DrainPhase::Closing) => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            // A peer behind a cut never says that it has heard of that; the stop must not wait for it.
+            let said = async {
+                while calls.receiver_count() > 0 {
+                    calls.closed().await;
+                    time::sleep(GOODBYE_TIME).await;
+                }
+            };
+            tokio::select! {
+                served = connection => served,
+                () = said => Ok(()),
+            }
         }
     };
     drop(flight);
--- a/tests/all/drain.rs
+++ b/tests/all/drain.rs
@@ -10,10 +10,15 @@
 };
 
 use bytes::Bytes;
+use hazeltiller_daemon::{handshake, links};
 use hazeltiller_standin::{behaviour, target};
-use hazeltiller_testkit::{fleet, wait};
+use hazeltiller_testkit::{fleet, node, wait};
+use hazeltiller_wire::handshake as wire;
 use http_body_util::{BodyExt, Full};
-use hyper::{Request, client::conn::http1};
+use hyper::{
+    Request,
+    client::conn::{http1, http2},
+};
 use hyper_util::rt;
 use indexmap::IndexMap;
 use serde_json::json;
@@ -27,6 +32,9 @@
 /// Time after which a target that leaves may get no new work.
 const LEAVING_TIME: Duration = Duration::from_secs(2);
 
+/// Time in which a connection that a test opens has surely begun.
+const OPENING_TIME: Duration = Duration::from_millis(500);
+
 /// What the callers saw.
 #[derive(Debug, Default)]
 struct Tally {
@@ -211,6 +219,31 @@
     load.finish(&targets).await;
 }
 
+/// A peer that is cut off never hears that a node stops; the node does not wait for it, although it would
+/// for calls.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_peer_left() {
+    let mut fleet = started().await;
+    assert_eq!(fleet.stop("node-2").await, Some(0));
+    let tunables = json!({"requests": {"leave_ms": 0, "finish_ms": 600_000}});
+    fleet.instance("node-2").settings["tunables"] = tunables;
+    fleet.start(&["node-2"], &[]).await;
+    let address = fleet.instance("node-2").addresses["peers"];
+    let own = handshake::LinkCredentials {
+        identity: node::identity("silent", "brasov-a", "ro-centru"),
+        key: wire::GroupKey::new(Vec::new()),
+    };
+    let stream = links::connect(&own, address, wire::LinkPurpose::Calls).await;
+    let stream = rt::TokioIo::new(stream.expect("the node listens"));
+    let opened = http2::handshake::<_, _, Full<Bytes>>(rt::TokioExecutor::new(), stream).await;
+    let (_sender, mut connection) = opened.expect("the node speaks HTTP/2");
+    // It is open once both sides have greeted; nobody reads it any more after that.
+    drop(time::timeout(OPENING_TIME, &mut connection).await);
+    let stopped = time::timeout(wait::LONGEST_WAIT, fleet.stop("node-2")).await;
+    assert_eq!(stopped, Ok(Some(0)));
+    drop(connection);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn target_drains() {
     let mut fleet = started().await;
