Refusals for want of a catalogue or a target say when to come back

A node that has just started refused with HZ3015 and one whose targets are behind a cut with HZ3002, both without a Retry-After: callers that take no hint came back at once and spent their tries within the half second that the return takes. The time is that of the soonest try of an unreached target, or a constant. Tests: return_said, all_cut_off.

--- a/crates/engine/src/calls/ingress.rs
+++ b/crates/engine/src/calls/ingress.rs
@@ -7,12 +7,19 @@
 use rand::RngExt;
 
 use super::terms;
-use crate::{calls, event, ledger, quarantine, reducer, retry, routing, settings};
+use crate::{calls, event, health, ledger, quarantine, reducer, retry, routing, settings};
 
 /// Shares of the time after which there is room between which callers come back.
 const EARLIEST_RETURN: f64 = 0.75;
 const LATEST_RETURN: f64 = 1.5;
 
+/// Time after which a caller may come back to a node that holds no catalogue yet. Such a node has just
+/// started; where the whole fleet has, it holds one 0.3 to 0.6 s after it began to listen.
+const CATALOGUE_RETURN: Duration = Duration::from_millis(500);
+/// Time after which a caller may come back where no target is known that may take its call: one that starts
+/// or stops announces itself within about this time.
+const TARGET_RETURN: Duration = Duration::from_secs(1);
+
 /// Takes a caller's request and makes its first try.
 pub fn arrive(
     state: &mut reducer::EngineState,
@@ -22,7 +29,10 @@
     let record = match admit_arrival(state, &arrival) {
         Ok(record) => record,
         Err(code) => {
-            let refusal = ledger::early_refusal(&arrival, code);
+            let mut refusal = ledger::early_refusal(&arrival, code);
+            if code == code::ResultCode::CatalogueMissing {
+                refusal.retry_after_ms = spread(state, CATALOGUE_RETURN.as_millis() as u32);
+            }
             return output.refuse(arrival.call, refusal);
         }
     };
@@ -82,10 +92,34 @@
     output: &mut event::ReducerOutput,
 ) {
     if !attempt(state, call, false, output) {
-        calls::refuse(call, code::ResultCode::TargetMissing, output);
+        let refusal = wire::CallRefusal::not_run(code::ResultCode::TargetMissing);
+        refuse_missing(state, call, refusal, output);
     }
 }
 
+/// Refuses a call that no target could be offered, saying when one may be there: when the first of those
+/// that could not be reached is tried again.
+fn refuse_missing(
+    state: &mut reducer::EngineState,
+    call: ids::CallId,
+    refusal: wire::CallRefusal,
+    output: &mut event::ReducerOutput,
+) {
+    let service = state
+        .calls
+        .ingress
+        .get(&call)
+        .map(|record| &record.terms.service);
+    let tried_in = service.and_then(|service| health::unreached_for(state, service));
+    let room_in = tried_in.unwrap_or(TARGET_RETURN).as_millis() as u32;
+    let retry_after_ms = spread(state, room_in.max(1));
+    let refusal = wire::CallRefusal {
+        retry_after_ms,
+        ..refusal
+    };
+    output.refuse(call, refusal);
+}
+
 /// Offers a call to a target that was not tried; false when there is none.
 fn attempt(
     state: &mut reducer::EngineState,
@@ -187,6 +221,9 @@
     }
     let may_have_run = state.calls.ingress[&call].may_have_run;
     let mut refusal = retry::final_refusal(result, may_have_run);
+    if refusal.code == code::ResultCode::TargetMissing {
+        return refuse_missing(state, call, refusal, output);
+    }
     refusal.retry_after_ms = spread(state, refusal.retry_after_ms);
     output.refuse(call, refusal);
 }
--- a/crates/engine/src/health.rs
+++ b/crates/engine/src/health.rs
@@ -15,7 +15,7 @@
 mod ejection;
 mod outcome;
 
-pub use ejection::{EjectionState, ejected_targets};
+pub use ejection::{EjectionState, ejected_targets, unreached_for};
 pub use outcome::OutcomeWindow;
 
 /// Events of health.
--- a/crates/engine/src/health/ejection.rs
+++ b/crates/engine/src/health/ejection.rs
@@ -45,6 +45,11 @@
         self.is_unreached && self.is_ejected(now)
     }
 
+    /// Time for which calls are still kept away.
+    fn remaining(&self, now: time::MonotonicTime) -> Duration {
+        self.until.map_or(Duration::ZERO, |until| until.since(now))
+    }
+
     /// Keeps calls away from a target whose node could not be connected to, for half of a first ejection.
     pub fn note_unreached(&mut self, now: time::MonotonicTime, first: Duration) {
         if !self.is_ejected(now) {
@@ -111,3 +116,12 @@
     let ejected = ejected.into_iter().filter(|_| !is_above);
     ejected.chain(unreached.iter().map(place)).collect()
 }
+
+/// Shortest time until a target of a service that could not be connected to is tried again; `None` when
+/// there is no such one.
+pub fn unreached_for(state: &reducer::EngineState, service: &ids::EntryName) -> Option<Duration> {
+    let targets = state.routing.table.of_service(service).iter();
+    let views = targets.filter_map(|target| state.routing.views.get(&target.target));
+    let unreached = views.filter(|view| view.health.is_unreached(state.now));
+    unreached.map(|view| view.health.remaining(state.now)).min()
+}
--- a/crates/engine/tests/health.rs
+++ b/crates/engine/tests/health.rs
@@ -310,7 +310,13 @@
                 report: calls::AttemptReport::default(),
             };
             let effects = ingress.node.call(ended);
-            assert!(matches!(effects[..], [calls::CallEffect::Refuse(..)]));
+            let [calls::CallEffect::Refuse(_, refusal)] = effects.as_slice() else {
+                panic!("there is no other target: {effects:?}");
+            };
+            assert!(
+                (750..=1500).contains(&refusal.retry_after_ms),
+                "{refusal:?}"
+            );
         }
         ingress.node.call(calls::CallEvent::Finished(call));
         ingress.node.pass(Duration::from_millis(10));
--- a/crates/engine/tests/routing.rs
+++ b/crates/engine/tests/routing.rs
@@ -1,10 +1,10 @@
 //! Choice of routes and targets.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use hazeltiller_engine::{calls, routing::index};
 use hazeltiller_testkit::node;
-use hazeltiller_units::ids;
+use hazeltiller_units::{code, ids};
 use hazeltiller_wire::calls as wire;
 use indexmap::IndexMap;
 use serde_json::{Value, json};
@@ -247,3 +247,25 @@
     let last = ingress.arrive("/near").map(|(_, target)| target);
     assert_eq!(last.as_deref(), Some("near"), "unreachable is not gone");
 }
+
+/// A caller that is refused for want of a catalogue or a target is told when to come back.
+#[test]
+fn return_said() {
+    let mut node = node::NodeReducer::new("node-1", "brasov-a", &entries());
+    let held = Arc::clone(&node.state.dissemination.in_force);
+    let absent = Arc::default();
+    let table = [
+        (held, code::ResultCode::TargetMissing, 750..=1500),
+        (absent, code::ResultCode::CatalogueMissing, 375..=750),
+    ];
+    for (call, (catalogue, code, returns)) in table.into_iter().enumerate() {
+        node.state.dissemination.in_force = catalogue;
+        let arrival = node::arrival(call as u64, "/");
+        let effects = node.call(calls::CallEvent::Arrived(arrival));
+        let [calls::CallEffect::Refuse(_, refusal)] = effects.as_slice() else {
+            panic!("nothing can serve it: {effects:?}");
+        };
+        assert_eq!(refusal.code, code);
+        assert!(returns.contains(&refusal.retry_after_ms), "{refusal:?}");
+    }
+}
