What an installation grants is set under its own names, and tunables follow from it

Time between a request to stop and the kill, second tries granted, controls that may be lost: the deploy templates hard-coded what fits the first two sites. Tests: installation_followed, settings_faults.

--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -5,6 +5,7 @@
 
 pub mod check;
 pub mod fault;
+pub mod installation;
 pub mod schema;
 
 use std::{net::SocketAddr, ops::RangeInclusive, path::PathBuf};
@@ -12,7 +13,7 @@
 use hazeltiller_engine::settings as engine_settings;
 use hazeltiller_units::{ids, jsonc};
 use indexmap::IndexMap;
-use serde::{Deserialize, Deserializer, de::Error};
+use serde::{Deserialize, de::Error};
 
 /// Worker threads that can be set.
 pub const WORKER_THREADS: RangeInclusive<u64> = 1..=64;
@@ -147,9 +148,16 @@
     /// Logging.
     #[serde(default)]
     pub log: LogSettings,
-    /// Tunables of the reducer, by group; see docs/SETTINGS.md.
-    #[serde(default, deserialize_with = "read_tunables")]
+    /// What the operators of the installation grant and ask.
+    #[serde(default)]
+    pub installation: installation::InstallationSettings,
+    /// Tunables of the reducer, by group; see docs/SETTINGS.md. Those that are not given follow from
+    /// `installation` or have their defaults.
+    #[serde(skip)]
     pub tunables: engine_settings::EngineTunables,
+    /// Tunables that the file gives.
+    #[serde(default, rename = "tunables")]
+    pub(crate) given_tunables: TunableMap,
 }
 
 impl ProcessSettings {
@@ -161,8 +169,26 @@
         if !faults.is_empty() {
             return Err(faults);
         }
-        serde_json::from_value(document)
-            .map_err(|error| vec![fault::SettingsFault::of_text(error.to_string())])
+        let read = serde_json::from_value(document);
+        let read = read.and_then(|mut settings: Self| {
+            settings.tunables = settings.derive_tunables()?;
+            Ok(settings)
+        });
+        read.map_err(|error| vec![fault::SettingsFault::of_text(error.to_string())])
+    }
+
+    /// Sets what follows from the installation, then what the file gives; names and ranges were checked.
+    fn derive_tunables(&self) -> Result<engine_settings::EngineTunables, serde_json::Error> {
+        let mut tunables = engine_settings::EngineTunables::default();
+        self.installation.apply(&mut tunables);
+        for (group, names) in &self.given_tunables {
+            for (name, value) in names {
+                let place = tunables.place(group, name);
+                let unknown = || serde_json::Error::custom(format!("no {group}.{name}"));
+                *place.ok_or_else(unknown)? = *value;
+            }
+        }
+        Ok(tunables)
     }
 
     /// Peers addresses of the controls to ask.
@@ -180,20 +206,4 @@
     }
 }
 
-type TunableMap = IndexMap<String, IndexMap<String, u64>>;
-
-/// Sets what the file gives and keeps the defaults of the rest; names and ranges were checked.
-fn read_tunables<'de, D: Deserializer<'de>>(
-    deserializer: D,
-) -> Result<engine_settings::EngineTunables, D::Error> {
-    let given = TunableMap::deserialize(deserializer)?;
-    let mut tunables = engine_settings::EngineTunables::default();
-    for (group, names) in given {
-        for (name, value) in names {
-            let place = tunables.place(&group, &name);
-            let place = place.ok_or_else(|| D::Error::custom(format!("no {group}.{name}")))?;
-            *place = value;
-        }
-    }
-    Ok(tunables)
-}
+pub(crate) type TunableMap = IndexMap<String, IndexMap<String, u64>>;
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -86,6 +86,9 @@
         schema::SettingKind::Number(range) => {
             value.as_u64().is_some_and(|number| range.contains(&number))
         }
+        schema::SettingKind::Decimal(range) => {
+            value.as_f64().is_some_and(|number| range.contains(&number))
+        }
     }
 }
 
--- a/crates/daemon/src/settings/schema.rs
+++ b/crates/daemon/src/settings/schema.rs
@@ -4,8 +4,10 @@
 
 use hazeltiller_engine::settings as engine_settings;
 
+use super::installation;
+
 /// What a key takes.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum SettingKind {
     /// A name of letters, digits, `-`, `_`, `.` or `:`.
     Name,
@@ -25,6 +27,8 @@
     Switch,
     /// A whole number within a range.
     Number(RangeInclusive<u64>),
+    /// A number within a range.
+    Decimal(RangeInclusive<f64>),
 }
 
 /// Log levels, from the least to the most talkative.
@@ -47,12 +51,13 @@
             Self::Number(range) => {
                 format!("a whole number from {} to {}", range.start(), range.end())
             }
+            Self::Decimal(range) => format!("a number from {} to {}", range.start(), range.end()),
         }
     }
 }
 
 /// One key.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct SettingRow {
     /// Its path, with dots.
     pub path: String,
@@ -220,6 +225,27 @@
             &super::DEFAULT_WORKER_THREADS.to_string(),
             "Threads that carry calls and messages; more of them wake each other more often.",
         ),
+        row(
+            "installation.grace_s",
+            SettingKind::Decimal(installation::GRACE_S),
+            false,
+            "unknown",
+            "Seconds between a request to stop and the kill; requests.leave_ms, tell_ms and finish_ms follow from it.",
+        ),
+        row(
+            "installation.retry_ratio",
+            SettingKind::Decimal(installation::RETRY_RATIO),
+            false,
+            "unknown",
+            "Second tries that the services grant the whole fleet for each request; retry.budget_percent follows from it.",
+        ),
+        row(
+            "installation.lost_controls",
+            SettingKind::Number(installation::LOST_CONTROLS),
+            false,
+            "unknown",
+            "Controls that may be lost at once; replication.voters follows from it.",
+        ),
         row(
             "log.level",
             SettingKind::Level,
--- a/crates/engine/src/admission.rs
+++ b/crates/engine/src/admission.rs
@@ -56,7 +56,7 @@
     /// Time until a call that comes now gets a slot: until what goes before it has run, on the slots that its
     /// class gets, and the next one frees. Counts of calls do not tell: one that waits may run ten times as
     /// long as the mean of all runs, most of which are short.
-    fn wait(&self, share: &queue::CallShare, offer: &wire::CallOffer, room: &SlotRoom) -> Duration {
+    fn wait(&self, share: &queue::CallShare, offer: &wire::CallOffer, room: SlotRoom) -> Duration {
         let ahead = self.queue.work_ahead(share) / f64::from(room.of_class);
         let next = self.pace.time_for(f64::from(offer.cost), room.of_target);
         Duration::from_secs_f64(ahead) + next
@@ -325,7 +325,7 @@
         of_target: slots,
         of_class: slots.saturating_sub(by_better).max(1),
     };
-    let wait = admission.wait(&share, offer, &room);
+    let wait = admission.wait(&share, offer, room);
     let run = admission.pace.run_time(&offer.route, offer.cost);
     let left = Duration::from_millis(u64::from(offer.deadline_left_ms));
     if wait + run > left {
--- a/tests/all/pages.rs
+++ b/tests/all/pages.rs
@@ -52,6 +52,35 @@
     }
 }
 
+/// What the installation grants decides the tunables that hang on it; those that the file sets go first, and
+/// without a figure the defaults hold.
+#[test]
+fn installation_followed() {
+    let tunables = |more: &str| {
+        let text = format!(
+            r#"{{"instance": "a", "data_centre": "b", "region": "c", "roles": ["node"],
+            "control": ["127.0.0.1:1"], {more}}}"#
+        );
+        let settings = settings::ProcessSettings::parse(&text).expect("the text is sound");
+        settings.tunables
+    };
+    let defaults = hazeltiller_engine::settings::EngineTunables::default();
+    assert_eq!(tunables(""), defaults);
+    let followed = tunables(
+        r#""installation": {"grace_s": 6, "retry_ratio": 0.2, "lost_controls": 1},
+        "tunables": {"requests": {"tell_ms": 900}}"#,
+    );
+    let requests = &followed.requests;
+    let times = (requests.leave_ms, requests.tell_ms, requests.finish_ms);
+    assert_eq!(times, (2500, 900, 3200));
+    assert_eq!(
+        (followed.replication.voters, followed.retry.budget_percent),
+        (3, 20)
+    );
+    let short = tunables(r#""installation": {"grace_s": 2.0}"#).requests;
+    assert_eq!((short.leave_ms, short.finish_ms), (1000, 700));
+}
+
 #[test]
 fn settings_faults() {
     let good = r#"{"instance": "a", "data_centre": "b", "region": "c", "roles": ["node"],
