--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -4,6 +4,7 @@
 
 mod nodes;
 mod targets;
+mod watcher;
 
 pub use nodes::NodePool;
 pub use targets::{TargetPool, is_listening};
--- a/crates/engine/src/calls.rs
+++ b/crates/engine/src/calls.rs
@@ -14,6 +14,7 @@
 
 mod ingress;
 mod owner;
+pub mod pulse;
 pub mod terms;
 pub mod transit;
 pub mod usual;
