--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -3,9 +3,9 @@
 use std::{sync::Arc, time::Duration};
 
 use hazeltiller_engine::event;
-use hazeltiller_wire::{calls, codec, handshake as wire, membership, message};
+use hazeltiller_wire::{codec, handshake as wire, membership, message};
 use http_body_util::BodyExt;
-use hyper::{Request, Response, body::Incoming, server::conn::http2, service};
+use hyper::{server::conn::http2, service};
 use hyper_util::rt;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -14,7 +14,7 @@
     time,
 };
 
-use crate::{drain, handshake, http, links, listener, owner, process, questions};
+use crate::{drain, handshake, links, listener, owner, process, questions};
 
 /// Time in which a peer takes the end of the last answer, once a stopping node has given it.
 const GOODBYE_TIME: Duration = Duration::from_millis(300);
@@ -93,11 +93,6 @@
     }
 }
 
-/// Whether a request only asks for a sign of life; a call brings the terms of an offer.
-fn is_sign_wanted(request: &Request<Incoming>) -> bool {
-    request.uri().path() == calls::SIGN_PATH && !request.headers().contains_key(calls::TERMS_HEADER)
-}
-
 async fn serve_calls(
     context: Arc<process::ProcessContext>,
     from: &membership::PeerIdentity,
@@ -106,15 +101,12 @@
     let shared = Arc::clone(&context);
     let transit = context.transit.of_peer(&from.instance, from.incarnation);
     // Each call holds a receiver until its answer is handed over; none is left when all have ended.
-    let served_calls = watch::Sender::new(());
-    let call = served_calls.clone();
+    let calls = watch::Sender::new(());
+    let call = calls.clone();
     let service = service::service_fn(move |request| {
         let (context, transit) = (Arc::clone(&shared), Arc::clone(&transit));
         let held = call.subscribe();
         async move {
-            if is_sign_wanted(&request) {
-                return Ok(Response::new(http::full_body("")));
-            }
             let response = owner::serve_offer(context, &transit, request).await;
             let holding = move |frame| {
                 let _held = &held;
@@ -138,8 +130,8 @@
             connection.as_mut().graceful_shutdown();
             // A peer behind a cut never says that it has heard of that; the stop must not wait for it.
             let said = async {
-                while served_calls.receiver_count() > 0 {
-                    served_calls.closed().await;
+                while calls.receiver_count() > 0 {
+                    calls.closed().await;
                     time::sleep(GOODBYE_TIME).await;
                 }
             };
--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -4,7 +4,6 @@
 
 mod nodes;
 mod targets;
-mod watcher;
 
 pub use nodes::NodePool;
 pub use targets::{TargetPool, is_listening};
--- a/crates/daemon/src/pool/nodes.rs
+++ b/crates/daemon/src/pool/nodes.rs
@@ -19,7 +19,7 @@
     time::{self, Instant},
 };
 
-use super::{SendError, watcher};
+use super::SendError;
 use crate::{handshake, http, links};
 
 /// Silence of a connection with calls on it after which the other node is asked for a sign of life.
@@ -63,19 +63,12 @@
 
 type NodeSender = http2::SendRequest<http::StreamBody>;
 /// How a dial ended; nothing while it goes on.
-type DialResult = Option<Result<OpenLink, String>>;
-
-/// A connection that is open, and what is known of its silence.
-#[derive(Debug, Clone)]
-struct OpenLink {
-    sender: NodeSender,
-    watch: Arc<watcher::LinkWatch>,
-}
+type DialResult = Option<Result<NodeSender, String>>;
 
 /// The connection to one node.
 #[derive(Debug)]
 enum NodeLink {
-    Open(OpenLink),
+    Open(NodeSender),
     Dialling(watch::Receiver<DialResult>),
     Failed { at: Instant, message: String },
 }
@@ -129,16 +122,8 @@
         to: SocketAddr,
         request: Request<http::StreamBody>,
     ) -> Result<Sent, SendError> {
-        let mut link = self.link(to).await?;
-        if link.watch.is_doubtful() {
-            return Err(SendError::NotConnected {
-                message: "the link gives no sign of life".into(),
-            });
-        }
-        let _waiting = link.watch.begin_call();
-        let sent = link.sender.try_send_request(request).await;
-        link.watch.note_heard();
-        match sent {
+        let mut sender = self.sender(to).await?;
+        match sender.try_send_request(request).await {
             Ok(response) => Ok(Sent::Answered(response)),
             Err(mut error) => match error.take_message() {
                 Some(request) => Ok(Sent::Returned(request)),
@@ -147,12 +132,12 @@
         }
     }
 
-    async fn link(&self, to: SocketAddr) -> Result<OpenLink, SendError> {
+    async fn sender(&self, to: SocketAddr) -> Result<NodeSender, SendError> {
         let not_connected = |message: String| SendError::NotConnected { message };
         let mut dial = {
             let mut links = self.links.lock().expect("no holder of the lock panics");
             match links.get(&to) {
-                Some(NodeLink::Open(link)) if !link.sender.is_closed() => return Ok(link.clone()),
+                Some(NodeLink::Open(sender)) if !sender.is_closed() => return Ok(sender.clone()),
                 Some(NodeLink::Failed { at, message }) if at.elapsed() < REDIAL_PAUSE => {
                     return Err(not_connected(message.clone()));
                 }
@@ -167,7 +152,7 @@
         let waited = time::timeout(DIAL_PATIENCE, dial.wait_for(Option::is_some)).await;
         match waited {
             Ok(Ok(result)) => match &*result {
-                Some(Ok(link)) => Ok(link.clone()),
+                Some(Ok(sender)) => Ok(sender.clone()),
                 Some(Err(message)) => Err(not_connected(message.clone())),
                 None => Err(not_connected("the dial was given up".into())),
             },
@@ -184,7 +169,7 @@
         tokio::spawn(async move {
             let result = open(&credentials, to, sign_time).await;
             let link = match &result {
-                Ok(link) => NodeLink::Open(link.clone()),
+                Ok(sender) => NodeLink::Open(sender.clone()),
                 Err(message) => NodeLink::Failed {
                     at: Instant::now(),
                     message: message.clone(),
@@ -203,7 +188,7 @@
     credentials: &handshake::LinkCredentials,
     to: SocketAddr,
     sign_time: Duration,
-) -> Result<OpenLink, String> {
+) -> Result<NodeSender, String> {
     let stream = links::connect(credentials, to, wire::LinkPurpose::Calls).await;
     let stream = stream.map_err(|error| error.to_string())?;
     let mut builder = http2::Builder::new(rt::TokioExecutor::new());
@@ -218,7 +203,5 @@
             log::debug!("calls link to {to} ended: {error}");
         }
     });
-    let watch = Arc::<watcher::LinkWatch>::default();
-    tokio::spawn(watcher::watch(Arc::clone(&watch), sender.clone(), to));
-    Ok(OpenLink { sender, watch })
+    Ok(sender)
 }
--- a/crates/engine/src/calls.rs
+++ b/crates/engine/src/calls.rs
@@ -14,7 +14,6 @@
 
 mod ingress;
 mod owner;
-pub mod pulse;
 pub mod terms;
 pub mod transit;
 pub mod usual;
--- a/crates/wire/src/calls.rs
+++ b/crates/wire/src/calls.rs
@@ -21,8 +21,6 @@
 pub const TERMS_HEADER: &str = "hz-t";
 /// Header with the [`SentOffer`] of a call.
 pub const OFFER_HEADER: &str = "hz-o";
-/// Path of a request between nodes that asks for a sign of life; it is answered at once.
-pub const SIGN_PATH: &str = "/hz-sign";
 /// Header with the [`CallRefusal`] of an offer that was not taken.
 pub const REFUSAL_HEADER: &str = "hz-r";
 /// Header of an answer with a [`LoadReport`].
