--- a/fuzz/fuzz_targets/texts.rs
+++ b/fuzz/fuzz_targets/texts.rs
@@ -3,12 +3,17 @@
 #![no_main]
 
 use hazeltiller_catalogue::{change, file};
-use hazeltiller_daemon::{settings, targets};
+use hazeltiller_daemon::{
+    dialect::{self, TargetDialect},
+    settings,
+};
+use http::Method;
 use libfuzzer_sys::fuzz_target;
 
 fuzz_target!(|text: &str| {
     drop(settings::ProcessSettings::parse(text));
     drop(file::parse_file(text));
     drop(serde_json::from_str::<change::ChangeRequest>(text));
-    drop(serde_json::from_str::<targets::AnnounceDocument>(text));
+    let body = text.as_bytes();
+    drop(dialect::own::OwnTargets.read(&Method::POST, "/v1/announce", body));
 });
