The check of promises finds the adapter's tests too

promises::tests_exist failed on a line that names a test of platform/: it knew the crates' folders only. It looks into platform/tests now, as strictly.

--- a/tests/all/promises.rs
+++ b/tests/all/promises.rs
@@ -13,6 +13,7 @@
         [place, module, name] if CRATES.contains(place) => {
             (format!("crates/{place}/tests/{module}.rs"), (*name).into())
         }
+        ["platform", module, name] => (format!("platform/tests/{module}.rs"), (*name).into()),
         [module, name] => (format!("tests/all/{module}.rs"), (*name).into()),
         _ => panic!("{path} is not crate::module::test or module::test"),
     }
