--- a/crates/engine/tests/health.rs
+++ b/crates/engine/tests/health.rs
@@ -202,6 +202,30 @@
         }
         failed
     }
+
+    /// Makes one call, which does not reach its first target where that is gone; returns whether it did.
+    fn reach(&mut self, is_gone: impl Fn(&str) -> bool) -> bool {
+        self.last += 1;
+        let call = ids::CallId(self.last);
+        let arrival = node::arrival(self.last, "/");
+        let effects = self.node.call(calls::CallEvent::Arrived(arrival));
+        let [calls::CallEffect::Attempt(_, plan)] = effects.as_slice() else {
+            panic!("there are targets: {effects:?}");
+        };
+        let is_reached = !is_gone(plan.offer.target.as_str());
+        let result = if is_reached {
+            calls::AttemptResult::Answered { status: 200 }
+        } else {
+            calls::AttemptResult::NotReached
+        };
+        self.node.call(calls::CallEvent::AttemptEnded {
+            call,
+            result,
+            report: calls::AttemptReport::default(),
+        });
+        self.node.call(calls::CallEvent::Finished(call));
+        is_reached
+    }
 }
 
 #[test]
@@ -235,28 +259,8 @@
 #[test]
 fn unreached_at_once() {
     let mut ingress = Ingress::new(2);
-    let mut reached = Vec::new();
-    for number in 1..=20 {
-        let call = ids::CallId(number);
-        let arrival = node::arrival(number, "/");
-        let effects = ingress.node.call(calls::CallEvent::Arrived(arrival));
-        let [calls::CallEffect::Attempt(_, plan)] = effects.as_slice() else {
-            panic!("there are targets: {effects:?}");
-        };
-        let is_gone = plan.offer.target.as_str() == "registru-0";
-        let result = if is_gone {
-            calls::AttemptResult::NotReached
-        } else {
-            calls::AttemptResult::Answered { status: 200 }
-        };
-        reached.push(!is_gone);
-        ingress.node.call(calls::CallEvent::AttemptEnded {
-            call,
-            result,
-            report: calls::AttemptReport::default(),
-        });
-        ingress.node.call(calls::CallEvent::Finished(call));
-    }
+    let is_gone = |target: &str| target == "registru-0";
+    let reached: Vec<bool> = (0..20).map(|_| ingress.reach(is_gone)).collect();
     let missed = reached.iter().filter(|reached| !**reached).count();
     assert!(missed <= 1, "one failed connection is enough: {reached:?}");
 }
@@ -267,27 +271,8 @@
 fn cut_off_kept_away() {
     let mut ingress = Ingress::new(4);
     let mut missed = 0;
-    for number in 1..=200 {
-        let call = ids::CallId(number);
-        let arrival = node::arrival(number, "/");
-        let effects = ingress.node.call(calls::CallEvent::Arrived(arrival));
-        let [calls::CallEffect::Attempt(_, plan)] = effects.as_slice() else {
-            panic!("there are targets: {effects:?}");
-        };
-        let is_cut = plan.offer.target.as_str() != "registru-3";
-        missed += u32::from(is_cut);
-        let result = if is_cut {
-            calls::AttemptResult::NotReached
-        } else {
-            calls::AttemptResult::Answered { status: 200 }
-        };
-        let report = calls::AttemptReport::default();
-        ingress.node.call(calls::CallEvent::AttemptEnded {
-            call,
-            result,
-            report,
-        });
-        ingress.node.call(calls::CallEvent::Finished(call));
+    for _ in 0..200 {
+        missed += u32::from(!ingress.reach(|target| target != "registru-3"));
         ingress.node.pass(Duration::from_millis(10));
     }
     assert!(missed <= 6, "each is tried once a second: {missed}");
