A leader says which voters are silent; a failed disk is asked again and its state told

No decision changes. sync_fails closes the handle before it waits for the thread: the thread now lives as long as the handle. It is as strict: it still sees that nothing is reported as kept.

--- a/crates/daemon/src/gauges.rs
+++ b/crates/daemon/src/gauges.rs
@@ -89,6 +89,16 @@
     term.set(view.term.0 as i64);
     let is_leader = metrics.is_leader.with_label_values(&NO_LABELS);
     is_leader.set(i64::from(view.leader == Some(own)));
+    let has_failed = metrics.store_failed.with_label_values(&NO_LABELS);
+    has_failed.set(i64::from(view.has_failed));
+    metrics.voters.reset();
+    if view.role == replication::LEADER_ROLE {
+        let silent = view.members.iter().filter(|member| member.is_silent());
+        for (word, count) in [("alive", view.alive_voters()), ("silent", silent.count())] {
+            let gauge = metrics.voters.with_label_values(&[word]);
+            gauge.set(count as i64);
+        }
+    }
     for (word, position) in [("last", view.last), ("committed", view.commit)] {
         let gauge = metrics.log_position.with_label_values(&[word]);
         gauge.set(position.0 as i64);
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -128,6 +128,10 @@
     term: gauge "hazeltiller_leader_term" [];
     /// 1 while this control leads.
     is_leader: gauge "hazeltiller_is_leader" [];
+    /// Voters of the control group by whether they answer (alive, silent), as its leader knows.
+    voters: gauge "hazeltiller_voters" ["state"];
+    /// 1 while the disk of this control has refused a write and it takes no part in its group.
+    store_failed: gauge "hazeltiller_store_failed" [];
     /// Last position of this control's log, and the committed one.
     log_position: gauge "hazeltiller_log_position" ["state"];
     /// Time of a write to the log with its sync, in seconds.
@@ -214,4 +218,8 @@
         counter.inc_by(count);
         written
     }
+
+    fn probe(&mut self) -> Result<(), store_error::StoreError> {
+        self.store.probe()
+    }
 }
--- a/crates/daemon/src/observer/fleet.rs
+++ b/crates/daemon/src/observer/fleet.rs
@@ -16,6 +16,8 @@
 pub(super) struct FleetWatch {
     lost_links: IndexSet<SocketAddr>,
     leader: Option<SocketAddr>,
+    /// Voters that did not answer this process at the last look; empty unless it leads.
+    silent_voters: IndexSet<ids::InstanceName>,
     views: IndexMap<ids::InstanceName, MemberView>,
     revision: u64,
 }
@@ -31,6 +33,7 @@
         let Some(view) = replication::GroupView::of(state) else {
             return;
         };
+        self.look_at_voters(&view, timeline);
         if view.leader == self.leader {
             return;
         }
@@ -42,6 +45,33 @@
         });
     }
 
+    /// Notes voters that fall silent or answer again, with what is left of the group: the next loss may
+    /// be one too many, and the group goes on without a sign of it.
+    fn look_at_voters(&mut self, view: &replication::GroupView, timeline: &timeline::Timeline) {
+        let (alive, majority) = (view.alive_voters(), view.majority());
+        let silent = view.members.iter().filter(|member| member.is_silent());
+        let silent: IndexSet<_> = silent
+            .filter_map(|member| member.instance.clone())
+            .collect();
+        for voter in silent.difference(&self.silent_voters).cloned() {
+            timeline.note(TimelineEvent::VoterSilent {
+                voter,
+                alive,
+                majority,
+            });
+        }
+        if view.role == replication::LEADER_ROLE {
+            for voter in self.silent_voters.difference(&silent).cloned() {
+                timeline.note(TimelineEvent::VoterBack {
+                    voter,
+                    alive,
+                    majority,
+                });
+            }
+        }
+        self.silent_voters = silent;
+    }
+
     fn look_at_members(&mut self, state: &reducer::EngineState, timeline: &timeline::Timeline) {
         if self.revision == state.membership.revision {
             return;
--- a/crates/daemon/src/store_task.rs
+++ b/crates/daemon/src/store_task.rs
@@ -1,10 +1,14 @@
 //! The thread that writes to the disk, so that a slow sync never holds the reducer up.
 
-use std::sync::mpsc;
+use std::{sync::mpsc, time::Duration};
 
 use hazeltiller_engine::replication;
 use hazeltiller_store::LogStore;
 
+/// Time between two probes of a disk that has failed: often enough to tell a fault of seconds from
+/// one that lasts, and one small file a second at most.
+const PROBE_PERIOD: Duration = Duration::from_secs(1);
+
 /// A handle to the thread.
 #[derive(Debug, Clone)]
 pub struct StoreHandle {
@@ -42,8 +46,28 @@
                 error.code()
             );
             report(replication::ReplicationEvent::StoreFailed);
-            return;
+            return watch_disk(store.as_mut(), &batches);
         }
         report(replication::ReplicationEvent::Persisted { batch });
     }
 }
+
+/// Says in the log whether the disk takes bytes again, until the handle is gone; keeps nothing.
+fn watch_disk(store: &mut dyn LogStore, batches: &mpsc::Receiver<replication::PersistBatch>) {
+    let mut is_well = false;
+    loop {
+        match batches.recv_timeout(PROBE_PERIOD) {
+            Ok(_) => continue,
+            Err(mpsc::RecvTimeoutError::Disconnected) => return,
+            Err(mpsc::RecvTimeoutError::Timeout) => {}
+        }
+        let probed = store.probe();
+        if probed.is_ok() != is_well {
+            is_well = probed.is_ok();
+            match probed {
+                Ok(()) => log::warn!("the disk takes bytes again; the store stays failed"),
+                Err(error) => log::error!("{}: {error}; the disk refuses again", error.code()),
+            }
+        }
+    }
+}
--- a/crates/engine/src/replication.rs
+++ b/crates/engine/src/replication.rs
@@ -29,7 +29,7 @@
 use crate::{event, membership, reducer, settings};
 
 pub use persist::{PersistBatch, RecoveredLog};
-pub use view::{GroupView, VoterView};
+pub use view::{GroupView, LEADER_ROLE, VoterView};
 
 /// Number of a proposal in this process; its answer carries it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
--- a/crates/engine/src/replication/view.rs
+++ b/crates/engine/src/replication/view.rs
@@ -49,7 +49,30 @@
     pub members: Vec<VoterView>,
 }
 
+/// Role word of a leader in [`GroupView::role`].
+pub const LEADER_ROLE: &str = "leader";
+
+impl VoterView {
+    /// Whether this is a voter that has not answered the leader within an election timeout.
+    pub fn is_silent(&self) -> bool {
+        self.is_voter && self.is_alive == Some(false)
+    }
+}
+
 impl GroupView {
+    /// Voters that have answered the leader within an election timeout, itself included; 0 unless
+    /// this replica leads.
+    pub fn alive_voters(&self) -> usize {
+        let voters = self.members.iter().filter(|member| member.is_voter);
+        voters.filter(|voter| voter.is_alive == Some(true)).count()
+    }
+
+    /// Voters that a commit needs.
+    pub fn majority(&self) -> usize {
+        let voters = self.members.iter().filter(|member| member.is_voter).count();
+        voters / 2 + 1
+    }
+
     /// The view of a process; `None` without the control role.
     pub fn of(state: &reducer::EngineState) -> Option<Self> {
         let replication = state.replication.as_ref()?;
@@ -110,7 +133,7 @@
 
     fn role_word(&self) -> &'static str {
         match (&self.role, self.standing()) {
-            (ReplicaRole::Leader(_), _) => "leader",
+            (ReplicaRole::Leader(_), _) => LEADER_ROLE,
             (_, wire::ReplicaStanding::Forming) => "forming",
             (_, wire::ReplicaStanding::Learner) => "learner",
             (ReplicaRole::Follower, _) => "follower",
--- a/crates/engine/src/timeline.rs
+++ b/crates/engine/src/timeline.rs
@@ -125,6 +125,24 @@
         /// Its peers address.
         leader: SocketAddr,
     },
+    /// A voter has not answered this leader within an election timeout.
+    VoterSilent {
+        /// The voter's instance.
+        voter: ids::InstanceName,
+        /// Voters that answer, this one included.
+        alive: usize,
+        /// Voters that a commit needs.
+        majority: usize,
+    },
+    /// A silent voter answers this leader again.
+    VoterBack {
+        /// The voter's instance.
+        voter: ids::InstanceName,
+        /// Voters that answer, this one included.
+        alive: usize,
+        /// Voters that a commit needs.
+        majority: usize,
+    },
     /// This control knows of no leader any more.
     LeaderLost {
         /// Its latest term.
@@ -341,6 +359,7 @@
                 | Self::LogReported { .. }
                 | Self::VersionRefused { .. }
                 | Self::LeaderLost { .. }
+                | Self::VoterSilent { .. }
                 | Self::LinkLost { .. }
                 | Self::TargetEjected { .. }
                 | Self::RequestQuarantined { .. }
--- a/crates/store/src/file.rs
+++ b/crates/store/src/file.rs
@@ -19,6 +19,9 @@
 const LOCK_FILE: &str = "lock";
 const LOG_FILE: &str = "log";
 const SNAPSHOT_FILE: &str = "snapshot";
+const PROBE_FILE: &str = "probe";
+/// Bytes of a probe of the disk: more than a file system keeps inside a file's own record.
+const PROBE_BYTES: usize = 4096;
 const ASIDE_SUFFIX: &str = "new";
 
 type StoreResult<T> = Result<T, error::StoreError>;
@@ -159,6 +162,15 @@
         self.has_failed = written.is_err();
         written
     }
+
+    fn probe(&mut self) -> StoreResult<()> {
+        let path = self.folder.join(PROBE_FILE);
+        let mut file = fs::File::create(&path).context(disk("making", &path))?;
+        file.write_all(&[0; PROBE_BYTES])
+            .context(disk("writing", &path))?;
+        file.sync_all().context(disk("syncing", &path))?;
+        fs::remove_file(&path).context(disk("removing", &path))
+    }
 }
 
 fn disk<'a>(action: &'static str, path: &'a Path) -> error::DiskSnafu<&'static str, &'a Path> {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -16,4 +16,8 @@
     /// all lazy are written only. After an error the store keeps nothing more, since what a failed
     /// sync has left on the disk cannot be known.
     fn write(&mut self, batches: Vec<replication::PersistBatch>) -> Result<(), error::StoreError>;
+
+    /// Whether the disk takes bytes now: writes and syncs a small file beside what is kept. Says
+    /// nothing of what was lost before.
+    fn probe(&mut self) -> Result<(), error::StoreError>;
 }
--- a/tests/all/replication.rs
+++ b/tests/all/replication.rs
@@ -136,6 +136,36 @@
     }
 }
 
+/// A group that has lost a voter goes on without a sign of it to operators, so its leader says so.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_voter_told() {
+    let mut fleet = started_group(|_| {}).await;
+    accepted(&fleet, "control-1", &support::first_change()).await;
+    let leader = leader(&fleet).await;
+    let other = CONTROLS.into_iter().find(|name| *name != leader);
+    let other = other.expect("there are three");
+    fleet.kill(&[other]).await;
+    let told = |kind: &str, alive: u32| {
+        format!(r#""kind":"{kind}","voter":"{other}","alive":{alive},"majority":2"#)
+    };
+    let reporter = wait_line(&fleet, &told("voter_silent", 2)).await;
+    let request = Request::get("/metrics").body(Full::default());
+    let request = request.expect("the path is a URI");
+    let answer = fleet.ask(reporter, "operators", request).await;
+    let metrics = answer.expect("it runs").into_body();
+    let metrics = str::from_utf8(&metrics).expect("metrics are text");
+    assert!(metrics.contains(r#"hazeltiller_voters{state="silent"} 1"#));
+    assert!(metrics.contains("hazeltiller_store_failed 0"));
+    fleet.start(&[other], &[]).await;
+    wait_line(&fleet, &told("voter_back", 3)).await;
+}
+
+/// Waits until a control has logged a text; returns which.
+async fn wait_line(fleet: &fleet::Fleet, text: &str) -> &'static str {
+    let has_line = |name: &&str| fleet.log(name).contains(text);
+    wait::until(text, || async { CONTROLS.into_iter().find(has_line) }).await
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn operators_race() {
     let fleet = started_group(|_| {}).await;
@@ -329,6 +359,10 @@
             source: std::io::ErrorKind::StorageFull.into(),
         })
     }
+
+    fn probe(&mut self) -> Result<(), error::StoreError> {
+        Ok(())
+    }
 }
 
 #[test]
@@ -353,6 +387,7 @@
         Ok(replication::ReplicationEvent::StoreFailed)
     );
     persist(3);
+    drop(handle);
     thread.join().expect("it ends well");
     assert!(
         reported.recv().is_err(),
