--- a/crates/engine/tests/replication.rs
+++ b/crates/engine/tests/replication.rs
@@ -1,11 +1,13 @@
 //! The replicated log under lost, doubled, late and crossed messages, crashes and lost disks.
 
+#[path = "replication/failing_disk.rs"]
+mod failing_disk;
 #[path = "replication/network.rs"]
 mod network;
 
 use std::time::Duration;
 
-use hazeltiller_engine::{event, reducer, replication};
+use hazeltiller_engine::replication;
 use hazeltiller_units::{code, ids};
 use hazeltiller_wire::dissemination::{FloorAnswer, FloorProof};
 use network::FakeNetwork;
@@ -296,31 +298,6 @@
     );
 }
 
-#[test]
-fn failed_disk() {
-    let mut network = FakeNetwork::new(3);
-    network.change("first");
-    let old = network.leader().expect("the group is whole");
-    let number = network.propose(old, "second", 1);
-    let failed = event::Event::Replication(replication::ReplicationEvent::StoreFailed);
-    let now = network.now;
-    let effects = reducer::reduce(&mut network.controls[old].state, now, failed);
-    let unknown = effects.iter().any(|effect| {
-        matches!(effect, event::Effect::Replication(replication::ReplicationEffect::Answer {
-            number: one, answer: replication::ProposalAnswer::Unknown,
-        }) if one.0 == number)
-    });
-    assert!(unknown, "the change may be on other disks");
-    network.settle(100);
-    let new = network.leader().expect("two of three are well");
-    assert_ne!(new, old);
-    let refused = network.propose(old, "third", 1);
-    assert_eq!(
-        refusal(&network, refused),
-        Some(code::ResultCode::StoreFailed)
-    );
-}
-
 /// A control whose disk held a group of three and two entries of term 1.
 fn old_leader(network: &mut FakeNetwork) -> usize {
     network.change("first");
--- a/crates/engine/tests/replication/network.rs
+++ b/crates/engine/tests/replication/network.rs
@@ -1,5 +1,6 @@
 //! A group of reducers with fake disks and a fake network, checked after every step.
 
+mod disk;
 mod messages;
 
 use std::{net::SocketAddr, time::Duration};
@@ -15,8 +16,7 @@
 pub(crate) struct FakeControl {
     pub(crate) state: reducer::EngineState,
     pub(crate) is_up: bool,
-    disk: replication::RecoveredLog,
-    unsynced: Vec<replication::PersistBatch>,
+    pub(crate) disk: disk::FakeDisk,
     version: ids::CatalogueVersion,
 }
 
@@ -89,21 +89,6 @@
     engine
 }
 
-fn write(disk: &mut replication::RecoveredLog, batch: replication::PersistBatch) {
-    if let Some(from) = batch.truncate {
-        disk.entries.retain(|entry| entry.position < from);
-    }
-    disk.entries.extend(batch.entries);
-    disk.hard = batch.hard.unwrap_or(disk.hard);
-    if let Some(snapshot) = batch.snapshot {
-        let mark = snapshot.mark;
-        let covered = disk.entries.iter().position(|entry| entry.mark() == mark);
-        let kept = covered.map(|place| disk.entries.split_off(place + 1));
-        disk.entries = kept.unwrap_or_default();
-        disk.snapshot = Some(*snapshot);
-    }
-}
-
 impl FakeNetwork {
     /// A group that was just started to be founded.
     pub(crate) fn new(count: usize) -> Self {
@@ -143,8 +128,7 @@
             network.controls.push(FakeControl {
                 state: engine(index, plan, disk.clone()),
                 is_up: true,
-                disk,
-                unsynced: Vec::new(),
+                disk: disk::FakeDisk::new(disk),
                 version: ids::CatalogueVersion::default(),
             });
         }
@@ -211,7 +195,7 @@
                 }
             }
             event::Effect::Replication(replication::ReplicationEffect::Persist(batch)) => {
-                self.controls[index].unsynced.push(*batch);
+                self.controls[index].disk.take(*batch);
             }
             event::Effect::Replication(replication::ReplicationEffect::Answer {
                 number,
@@ -270,18 +254,11 @@
         }
     }
 
-    /// The disk of a control keeps everything that it was given.
+    /// The disk of a control keeps everything that it was given, or refuses it.
     pub(crate) fn sync(&mut self, index: usize) {
-        let control = &mut self.controls[index];
-        let batches = std::mem::take(&mut control.unsynced);
-        let Some(last) = batches.last().map(|batch| batch.batch) else {
-            return;
-        };
-        for batch in batches {
-            write(&mut control.disk, batch);
+        if let Some(event) = self.controls[index].disk.sync() {
+            self.reduce(index, event::Event::Replication(event));
         }
-        let event = replication::ReplicationEvent::Persisted { batch: last };
-        self.reduce(index, event::Event::Replication(event));
     }
 
     pub(crate) fn deliver(&mut self, place: usize, is_last: bool) {
@@ -427,10 +404,7 @@
     /// A control dies and loses its memory; of what was not synced a part is on the disk.
     pub(crate) fn crash(&mut self, index: usize, kept: usize) {
         let control = &mut self.controls[index];
-        let batches = std::mem::take(&mut control.unsynced);
-        for batch in batches.into_iter().take(kept) {
-            write(&mut control.disk, batch);
-        }
+        control.disk.crash(kept);
         control.is_up = false;
     }
 
@@ -438,7 +412,7 @@
         let plan = self.plan;
         let control = &mut self.controls[index];
         if !control.is_up {
-            control.state = engine(index, plan, control.disk.clone());
+            control.state = engine(index, plan, control.disk.kept.clone());
             control.is_up = true;
             control.version = ids::CatalogueVersion::default();
         }
@@ -447,7 +421,7 @@
     /// A control dies and comes back with an empty folder.
     pub(crate) fn empty(&mut self, index: usize, is_bootstrap: bool) {
         self.crash(index, 0);
-        self.controls[index].disk = self.fresh_disk(is_bootstrap);
+        self.controls[index].disk = disk::FakeDisk::new(self.fresh_disk(is_bootstrap));
         self.restart(index);
     }
 
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,11 +1,13 @@
 //! Integration tests: real processes, ports chosen by the system, a module a feature.
 
 mod command_line;
+mod control_group;
 mod crashing;
 mod decoders;
 mod demo;
 mod drain;
 mod examples;
+mod failing_disk;
 mod fleet;
 mod hygiene;
 mod limits;
--- a/tests/all/replication.rs
+++ b/tests/all/replication.rs
@@ -6,61 +6,22 @@
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, AtomicUsize, Ordering},
-        mpsc,
     },
 };
 
-use hazeltiller_daemon::store_task;
-use hazeltiller_engine::replication;
 use hazeltiller_standin::client;
-use hazeltiller_store::{LogStore, error};
 use hazeltiller_testkit::{fleet, wait};
 use http_body_util::Full;
 use hyper::{Request, header};
 use serde_json::{Value, json};
 
-use crate::support;
+use crate::{
+    control_group::{self, CONTROLS},
+    support,
+};
 
-const CONTROLS: [&str; 3] = ["control-1", "control-2", "control-3"];
 const KILLS: usize = 20;
 
-async fn started_group(own: impl Fn(&mut Value)) -> fleet::Fleet {
-    let mut fleet = fleet::Fleet::new(support::DAEMON);
-    fleet.add_controls("brasov-a", &CONTROLS).await;
-    for name in CONTROLS {
-        own(&mut fleet.instance(name).settings);
-    }
-    fleet.start(&CONTROLS, &["--bootstrap"]).await;
-    fleet
-}
-
-async fn leader(fleet: &fleet::Fleet) -> &'static str {
-    wait::until("a leader", || async {
-        for name in CONTROLS {
-            let status = fleet.read(name, "/v1/status").await;
-            let is_leader = |status: &Value| status["control"]["role"] == "leader";
-            if status.is_some_and(|status| is_leader(&status)) {
-                return Some(name);
-            }
-        }
-        None
-    })
-    .await
-}
-
-async fn accepted(fleet: &fleet::Fleet, name: &str, change: &Value) -> Value {
-    wait::until("an accepted change", || async {
-        let (status, answer) = fleet.change(name, change).await?;
-        (status == 200).then_some(answer)
-    })
-    .await
-}
-
-fn class_change(id: &str, expects: u64) -> Value {
-    json!({"change_id": id, "expects": expects, "put": [
-        {"kind": "class", "name": id, "owner": "registru", "class": "counter"}]})
-}
-
 fn operators(fleet: &mut fleet::Fleet) -> Vec<SocketAddr> {
     let address = |name: &&str| fleet.instance(name).addresses["operators"];
     CONTROLS.iter().map(address).collect()
@@ -72,7 +33,7 @@
     let mut version = 1;
     let mut tries = 0;
     while !stop.load(Ordering::Relaxed) {
-        let change = class_change(&format!("change-{version}"), version);
+        let change = control_group::class_change(&format!("change-{version}"), version);
         loop {
             tries += 1;
             let address = {
@@ -102,14 +63,14 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn leader_killed() {
-    let mut fleet = started_group(|_| {}).await;
-    accepted(&fleet, "control-1", &support::first_change()).await;
+    let mut fleet = control_group::started_group(|_| {}).await;
+    control_group::accepted(&fleet, "control-1", &support::first_change()).await;
     let addresses = Arc::new(Mutex::new(operators(&mut fleet)));
     let stop = Arc::new(AtomicBool::new(false));
     let stream = tokio::spawn(stream_changes(Arc::clone(&addresses), Arc::clone(&stop)));
     let mut version = 1;
     for _ in 0..KILLS {
-        let killed = leader(&fleet).await;
+        let killed = control_group::leader(&fleet).await;
         fleet.kill(&[killed]).await;
         fleet.start(&[killed], &[]).await;
         *addresses.lock().expect("no holder panics") = operators(&mut fleet);
@@ -139,16 +100,16 @@
 /// A group that has lost a voter goes on without a sign of it to operators, so its leader says so.
 #[tokio::test(flavor = "multi_thread")]
 async fn silent_voter_told() {
-    let mut fleet = started_group(|_| {}).await;
-    accepted(&fleet, "control-1", &support::first_change()).await;
-    let leader = leader(&fleet).await;
+    let mut fleet = control_group::started_group(|_| {}).await;
+    control_group::accepted(&fleet, "control-1", &support::first_change()).await;
+    let leader = control_group::leader(&fleet).await;
     let other = CONTROLS.into_iter().find(|name| *name != leader);
     let other = other.expect("there are three");
     fleet.kill(&[other]).await;
     let told = |kind: &str, alive: u32| {
         format!(r#""kind":"{kind}","voter":"{other}","alive":{alive},"majority":2"#)
     };
-    let reporter = wait_line(&fleet, &told("voter_silent", 2)).await;
+    let reporter = control_group::wait_line(&fleet, &told("voter_silent", 2)).await;
     let request = Request::get("/metrics").body(Full::default());
     let request = request.expect("the path is a URI");
     let answer = fleet.ask(reporter, "operators", request).await;
@@ -157,24 +118,20 @@
     assert!(metrics.contains(r#"hazeltiller_voters{state="silent"} 1"#));
     assert!(metrics.contains("hazeltiller_store_failed 0"));
     fleet.start(&[other], &[]).await;
-    wait_line(&fleet, &told("voter_back", 3)).await;
-}
-
-/// Waits until a control has logged a text; returns which.
-async fn wait_line(fleet: &fleet::Fleet, text: &str) -> &'static str {
-    let has_line = |name: &&str| fleet.log(name).contains(text);
-    wait::until(text, || async { CONTROLS.into_iter().find(has_line) }).await
+    control_group::wait_line(&fleet, &told("voter_back", 3)).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn operators_race() {
-    let fleet = started_group(|_| {}).await;
-    accepted(&fleet, "control-1", &support::first_change()).await;
+    let fleet = control_group::started_group(|_| {}).await;
+    control_group::accepted(&fleet, "control-1", &support::first_change()).await;
     fleet.wait_version(&CONTROLS, 1).await;
-    leader(&fleet).await;
+    control_group::leader(&fleet).await;
     for version in 1..=10 {
         let ids = ["ana", "ion"].map(|name| format!("{name}-{version}"));
-        let changes = ids.clone().map(|id| class_change(&id, version));
+        let changes = ids
+            .clone()
+            .map(|id| control_group::class_change(&id, version));
         let (one, other) = tokio::join!(
             fleet.change(CONTROLS[version as usize % 3], &changes[0]),
             fleet.change(CONTROLS[(version as usize + 1) % 3], &changes[1])
@@ -194,16 +151,18 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn majority_lost() {
-    let mut fleet = started_group(|_| {}).await;
-    accepted(&fleet, "control-1", &support::first_change()).await;
-    let left = leader(&fleet).await;
+    let mut fleet = control_group::started_group(|_| {}).await;
+    control_group::accepted(&fleet, "control-1", &support::first_change()).await;
+    let left = control_group::leader(&fleet).await;
     fleet.wait_version(&CONTROLS, 1).await;
     let others: Vec<&str> = CONTROLS.into_iter().filter(|name| *name != left).collect();
     fleet.kill(&others).await;
     let sent = AtomicUsize::new(0);
     let refused = wait::until("a refusal", || async {
         let id = format!("alone-{}", sent.fetch_add(1, Ordering::Relaxed));
-        let (status, answer) = fleet.change(left, &class_change(&id, 1)).await?;
+        let (status, answer) = fleet
+            .change(left, &control_group::class_change(&id, 1))
+            .await?;
         assert!(
             status == 503 || status == 504,
             "nothing is accepted: {status} {answer}"
@@ -218,7 +177,7 @@
         (&json!(false), &json!(1))
     );
     fleet.start(&others, &[]).await;
-    let unknown = class_change("alone-0", 1);
+    let unknown = control_group::class_change("alone-0", 1);
     let settled = wait::until("the first one's outcome", || async {
         let (status, answer) = fleet.change(others[0], &unknown).await?;
         [200, 409].contains(&status).then_some((status, answer))
@@ -242,9 +201,9 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn instance_replaced() {
-    let mut fleet = started_group(|_| {}).await;
-    accepted(&fleet, "control-1", &support::first_change()).await;
-    let kept = leader(&fleet).await;
+    let mut fleet = control_group::started_group(|_| {}).await;
+    control_group::accepted(&fleet, "control-1", &support::first_change()).await;
+    let kept = control_group::leader(&fleet).await;
     let others: Vec<&str> = CONTROLS.into_iter().filter(|name| *name != kept).collect();
     fleet.kill(&[others[0]]).await;
     fleet.empty_data(others[0]);
@@ -268,7 +227,8 @@
         assert_eq!(done.status.code(), Some(0), "{done:?}");
     }
     fleet.kill(&[others[1]]).await;
-    let answer = accepted(&fleet, others[0], &class_change("after", 1)).await;
+    let answer =
+        control_group::accepted(&fleet, others[0], &control_group::class_change("after", 1)).await;
     assert_eq!(answer["version"], 2, "the repaired one makes the majority");
     let listed = control_command(&mut fleet, kept, &["list"]);
     let listed = String::from_utf8_lossy(&listed.stdout).into_owned();
@@ -281,8 +241,8 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn bootstrap_refused() {
-    let mut fleet = started_group(|_| {}).await;
-    accepted(&fleet, "control-1", &support::first_change()).await;
+    let mut fleet = control_group::started_group(|_| {}).await;
+    control_group::accepted(&fleet, "control-1", &support::first_change()).await;
     fleet.kill(&["control-1"]).await;
     let again = Command::new(support::DAEMON)
         .args(["--bootstrap", "--settings"])
@@ -299,7 +259,7 @@
     let folder = tempfile::tempdir().expect("a temporary folder can be made");
     let file = folder.path().join("token");
     std::fs::write(&file, "first secret\n").expect("the folder is writable");
-    let fleet = started_group(|own| own["operators_token_file"] = json!(file)).await;
+    let fleet = control_group::started_group(|own| own["operators_token_file"] = json!(file)).await;
     let send = async |change: Value, token: Option<&str>| {
         let mut request = Request::post("/v1/changes");
         if let Some(token) = token {
@@ -327,11 +287,23 @@
         {"kind": "class", "name": "foreign", "owner": "arhiva", "class": "counter"}]});
     // Who sends what, and the status.
     let table = [
-        (class_change("no-token", 1), None, 401),
-        (class_change("bad-token", 1), Some("guessed"), 401),
+        (control_group::class_change("no-token", 1), None, 401),
+        (
+            control_group::class_change("bad-token", 1),
+            Some("guessed"),
+            401,
+        ),
         (foreign, Some("ana's own"), 403),
-        (class_change("own", 1), Some("ana's own"), 200),
-        (class_change("admin", 2), Some("first secret"), 200),
+        (
+            control_group::class_change("own", 1),
+            Some("ana's own"),
+            200,
+        ),
+        (
+            control_group::class_change("admin", 2),
+            Some("first secret"),
+            200,
+        ),
     ];
     for (change, token, expected) in table {
         let status = send(change.clone(), token).await;
@@ -341,56 +313,3 @@
     let history = history.expect("reading needs no token");
     assert_eq!(history["changes"][1]["operator"], "ana");
 }
-
-/// A disk whose sync fails after some batches, and then seems well again.
-struct FailingStore {
-    left: usize,
-}
-
-impl LogStore for FailingStore {
-    fn write(&mut self, _: Vec<replication::PersistBatch>) -> Result<(), error::StoreError> {
-        self.left = self.left.wrapping_sub(1);
-        if self.left != usize::MAX {
-            return Ok(());
-        }
-        Err(error::StoreError::Disk {
-            action: "syncing",
-            path: "log".into(),
-            source: std::io::ErrorKind::StorageFull.into(),
-        })
-    }
-
-    fn probe(&mut self) -> Result<(), error::StoreError> {
-        Ok(())
-    }
-}
-
-#[test]
-fn sync_fails() {
-    let (handle, batches) = store_task::StoreHandle::new();
-    let (events, reported) = mpsc::channel();
-    let report = move |event| events.send(event).expect("the test listens");
-    let store = Box::new(FailingStore { left: 1 });
-    let thread = std::thread::spawn(move || store_task::run(store, batches, report));
-    let persist = |batch| {
-        handle.persist(replication::PersistBatch {
-            batch,
-            ..replication::PersistBatch::default()
-        });
-    };
-    persist(1);
-    let kept = replication::ReplicationEvent::Persisted { batch: 1 };
-    assert_eq!(reported.recv(), Ok(kept));
-    persist(2);
-    assert_eq!(
-        reported.recv(),
-        Ok(replication::ReplicationEvent::StoreFailed)
-    );
-    persist(3);
-    drop(handle);
-    thread.join().expect("it ends well");
-    assert!(
-        reported.recv().is_err(),
-        "nothing is reported as kept after a failed sync"
-    );
-}
