--- a/crates/daemon/src/engine_actor.rs
+++ b/crates/daemon/src/engine_actor.rs
@@ -20,7 +20,7 @@
 };
 use tokio::sync::{mpsc, oneshot, watch};
 
-use crate::{links, observer, store_task, timeline};
+use crate::{links, observer, parts, store_task, timeline};
 
 /// Orders for the task that carries a call.
 pub type CallOrders = mpsc::UnboundedReceiver<calls::CallEffect>;
@@ -290,6 +290,12 @@
         }
     }
 
+    /// Holds a guard until the actor has ended, which it does by itself only when it panics.
+    pub async fn guarded(self, guard: parts::PartGuard) {
+        self.actor.wait_for_shutdown().await;
+        drop(guard);
+    }
+
     /// Has an event reduced.
     pub fn tell(&self, event: event::Event) {
         self.input(EngineInput::Event(event));
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod observer;
 pub mod operators;
 pub mod owner;
+pub mod parts;
 pub mod peers;
 pub mod pool;
 pub mod probe;
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -27,8 +27,8 @@
 
 use crate::{
     byte_counts, callers, claims_task, dialect, drain, engine_actor, handshake, links, metrics,
-    observer, operators, peers, pool, probe, readiness, settings, store_task, targets, timeline,
-    trace,
+    observer, operators, parts, peers, pool, probe, readiness, settings, store_task, targets,
+    timeline, trace,
 };
 
 /// Time between two ticks of the reducer.
@@ -151,6 +151,8 @@
     pub addresses: BoundAddresses,
     /// What its tasks share.
     pub context: Arc<ProcessContext>,
+    /// Tells of a part that has ended, after which the process is of no use.
+    pub parts: parts::PartWatch,
 }
 
 /// What a process is started with beside the settings.
@@ -202,7 +204,8 @@
     };
     let key = wire::GroupKey::new(read_key(settings)?);
     let credentials = handshake::LinkCredentials { identity, key };
-    let context = start_engine(settings, options, credentials)?;
+    let (registry, parts) = parts::PartRegistry::new();
+    let context = start_engine(settings, options, credentials, &registry)?;
     tokio::spawn(peers::serve(Arc::clone(&context), peers));
     tokio::spawn(operators::serve(Arc::clone(&context), operators));
     if let Some(listener) = callers {
@@ -215,13 +218,18 @@
         tokio::spawn(readiness::serve(Arc::clone(&context), listener));
     }
     tokio::spawn(tick(context.engine.clone()));
-    Ok(RunningProcess { addresses, context })
+    Ok(RunningProcess {
+        addresses,
+        context,
+        parts,
+    })
 }
 
 fn start_engine(
     settings: &settings::ProcessSettings,
     options: StartOptions,
     credentials: handshake::LinkCredentials,
+    registry: &parts::PartRegistry,
 ) -> Result<Arc<ProcessContext>, StartError> {
     let mut is_new = options.bootstrap;
     let (store, recovered) = if credentials.identity.is_control {
@@ -290,18 +298,28 @@
         observer: observer::EngineObserver::new(timeline.clone(), Arc::clone(&metrics)),
     };
     let engine = engine_actor::EngineHandle::start(state, outlets);
+    let guard = registry.guard(parts::ProcessPart::Reducer);
+    tokio::spawn(engine.clone().guarded(guard));
     tokio::spawn(links::report_losses(losses, engine.clone()));
     tokio::spawn(probe::run(probe_plans, engine.clone()));
     if let Some(file) = store {
         let engine = engine.clone();
         let report = move |event| engine.tell(event::Event::Replication(event));
         let store = metrics::MeasuredStore::new(Box::new(file), Arc::clone(&metrics));
-        std::thread::spawn(move || store_task::run(Box::new(store), &batches, report));
+        let guard = registry.guard(parts::ProcessPart::LogWriter);
+        std::thread::spawn(move || {
+            let _guard = guard;
+            store_task::run(Box::new(store), &batches, report);
+        });
     }
     if let Some(file) = claims_file {
         let engine = engine.clone();
         let report = move |event| engine.tell(event::Event::Ledger(event));
-        std::thread::spawn(move || claims_task::run(Box::new(file), &claim_batches, report));
+        let guard = registry.guard(parts::ProcessPart::ClaimsWriter);
+        std::thread::spawn(move || {
+            let _guard = guard;
+            claims_task::run(Box::new(file), &claim_batches, report);
+        });
     }
     let administrator = read_administrator(settings)?;
     if administrator.is_none() && credentials.identity.is_control {
--- a/crates/units/src/code.rs
+++ b/crates/units/src/code.rs
@@ -48,6 +48,7 @@
     AnswerUnreadable = 1007, "an answer could not be understood", "check that both programs are of one version";
     NotConverged = 1008, "a change is accepted but not yet in force everywhere", "see which nodes are behind with hazeltiller convergence";
     DemoFailed = 1009, "the demo could not be run, or a request was lost or doubled", "report it with the demo's output";
+    PartEnded = 1010, "a part of the process ended by itself, so the process ends", "report it with the log; start the process anew";
     EntryInvalid = 2001, "an entry has a fault", "mend the named field";
     ReferenceMissing = 2002, "an entry refers to one that does not exist", "add the missing entry to the same change";
     ReferenceInUse = 2003, "an entry that is removed is still referred to", "remove or change what refers to it in the same change";
--- a/src/hazeltillerd.rs
+++ b/src/hazeltillerd.rs
@@ -5,6 +5,7 @@
 use bpaf::Bpaf;
 use hazeltiller_daemon::{dialect, drain, logging, process, reload, settings};
 use hazeltiller_engine::timeline;
+use hazeltiller_units::code;
 use tokio::signal::unix;
 
 /// One process of hazeltiller.
@@ -21,6 +22,8 @@
 }
 
 const EXIT_INVALID: u8 = 2;
+/// What `sysexits.h` gives for an internal fault of a program.
+const EXIT_PART_ENDED: u8 = 70;
 const HELP_WIDTH: usize = 100;
 
 fn main() -> ExitCode {
@@ -99,7 +102,7 @@
     // Before anything else, since the signal would end the process.
     let hangups =
         unix::signal(unix::SignalKind::hangup()).expect("a handler for SIGHUP can be set at start");
-    let running = match process::start(&file.settings, options).await {
+    let mut running = match process::start(&file.settings, options).await {
         Ok(running) => running,
         Err(error) => {
             eprintln!("{error}");
@@ -114,6 +117,12 @@
     tokio::select! {
         _ = terminate.recv() => {}
         _ = tokio::signal::ctrl_c() => {}
+        part = running.parts.ended() => {
+            let code = code::ResultCode::PartEnded;
+            log::error!("{code}: {part}: {}; {}", code.meaning(), code.advice());
+            logging::finish();
+            return ExitCode::from(EXIT_PART_ENDED);
+        }
     }
     let stopping = timeline::TimelineEvent::ProcessStopping;
     running.context.timeline.note(stopping);
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -14,6 +14,7 @@
 mod links;
 mod once;
 mod pages;
+mod parts;
 mod peers;
 mod pipelining;
 mod promises;
