--- a/crates/daemon/src/parts.rs
+++ b/crates/daemon/src/parts.rs
@@ -48,21 +48,32 @@
         PartGuard {
             part,
             ended: self.ended.clone(),
+            is_released: false,
         }
     }
 }
 
-/// Tells the end of its part when it is dropped, by a return as by a panic.
+/// Tells the end of its part when it is dropped, by a panic too, unless it was let go.
 #[derive(Debug)]
 pub struct PartGuard {
     part: ProcessPart,
     ended: mpsc::UnboundedSender<ProcessPart>,
+    is_released: bool,
+}
+
+impl PartGuard {
+    /// Lets a part end without a word: one that ends with another one, which tells the cause.
+    pub fn release(mut self) {
+        self.is_released = true;
+    }
 }
 
 impl Drop for PartGuard {
     fn drop(&mut self) {
-        // Nobody listens once the process stops.
-        let _ = self.ended.send(self.part);
+        if !self.is_released {
+            // Nobody listens once the process stops.
+            let _ = self.ended.send(self.part);
+        }
     }
 }
 
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -308,8 +308,8 @@
         let store = metrics::MeasuredStore::new(Box::new(file), Arc::clone(&metrics));
         let guard = registry.guard(parts::ProcessPart::LogWriter);
         std::thread::spawn(move || {
-            let _guard = guard;
             store_task::run(Box::new(store), &batches, report);
+            guard.release();
         });
     }
     if let Some(file) = claims_file {
@@ -317,8 +317,8 @@
         let report = move |event| engine.tell(event::Event::Ledger(event));
         let guard = registry.guard(parts::ProcessPart::ClaimsWriter);
         std::thread::spawn(move || {
-            let _guard = guard;
             claims_task::run(Box::new(file), &claim_batches, report);
+            guard.release();
         });
     }
     let administrator = read_administrator(settings)?;
--- a/tests/all/parts.rs
+++ b/tests/all/parts.rs
@@ -24,12 +24,33 @@
         .inspect(|_| panic!("as a fault of the reducer would"))
         .await;
     assert_eq!(looked, None::<()>);
-    let watch = &mut running.parts;
-    let ended = async {
-        // With the reducer go the threads that it feeds, in any order.
-        while watch.ended().await != parts::ProcessPart::Reducer {}
-    };
-    tokio::time::timeout(wait::LONGEST_WAIT, ended)
+    let ended = told(&mut running.parts).await;
+    assert_eq!(
+        ended,
+        parts::ProcessPart::Reducer,
+        "not the threads that it feeds"
+    );
+}
+
+/// A thread that panics tells so; one that ends in order does not.
+#[tokio::test]
+async fn thread_told() {
+    let (registry, mut watch) = parts::PartRegistry::new();
+    let orderly = registry.guard(parts::ProcessPart::ClaimsWriter);
+    std::thread::spawn(move || orderly.release())
+        .join()
+        .expect("it ends in order");
+    let guard = registry.guard(parts::ProcessPart::LogWriter);
+    let thread = std::thread::spawn(move || {
+        let _guard = guard;
+        panic!("as a fault of the store would")
+    });
+    thread.join().expect_err("it panicked");
+    assert_eq!(told(&mut watch).await, parts::ProcessPart::LogWriter);
+}
+
+async fn told(watch: &mut parts::PartWatch) -> parts::ProcessPart {
+    tokio::time::timeout(wait::LONGEST_WAIT, watch.ended())
         .await
-        .expect("its end is told");
+        .expect("an end is told")
 }
