--- a/crates/engine/src/replication.rs
+++ b/crates/engine/src/replication.rs
@@ -14,6 +14,7 @@
 mod machine;
 mod persist;
 mod proof;
+mod store_failure;
 mod view;
 mod window;
 
--- a/crates/engine/src/replication/persist.rs
+++ b/crates/engine/src/replication/persist.rs
@@ -2,11 +2,11 @@
 
 use std::collections::VecDeque;
 
-use hazeltiller_units::{code, ids};
+use hazeltiller_units::ids;
 use hazeltiller_wire::{message, replication as wire};
 
 use super::{ReplicaContext, ReplicaRole, ReplicationEffect, ReplicationState};
-use crate::{event, failed_store, settings};
+use crate::event;
 
 /// What the store must write and sync, in the order of the fields.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -124,7 +124,7 @@
     }
 
     /// Forgets all that waits, for the disk and from it.
-    fn abandon(&mut self) {
+    pub(super) fn abandon(&mut self) {
         *self = Self {
             synced: self.synced,
             snapshot: self.snapshot,
@@ -134,12 +134,21 @@
     }
 
     /// Takes it that the disk holds the log up to `synced`, behind a snapshot.
-    fn resume(&mut self, synced: ids::LogPosition, snapshot: ids::LogPosition) {
+    pub(super) fn resume(&mut self, synced: ids::LogPosition, snapshot: ids::LogPosition) {
         self.abandon();
         self.synced = synced;
         self.snapshot = snapshot;
     }
 
+    /// A batch with a number of its own, to be filled.
+    pub(super) fn next_batch(&mut self) -> PersistBatch {
+        self.last += 1;
+        PersistBatch {
+            batch: self.last,
+            ..PersistBatch::default()
+        }
+    }
+
     fn has_draft(&self) -> bool {
         self.wants_hard
             || self.wants_commit
@@ -149,9 +158,8 @@
     }
 
     fn take_draft(&mut self, hard: wire::HardState, reaches: ids::LogPosition) -> PersistBatch {
-        self.last += 1;
         let mut batch = std::mem::take(&mut self.draft);
-        batch.batch = self.last;
+        batch.batch = self.next_batch().batch;
         batch.hard = Some(hard);
         batch.is_lazy = !self.wants_hard
             && batch.truncate.is_none()
@@ -219,67 +227,3 @@
         self.advance_commit(context);
     }
 }
-
-impl ReplicationState {
-    /// Whether the store keeps nothing at the moment.
-    pub(super) fn has_failed(&self) -> bool {
-        self.failure.is_some()
-    }
-
-    /// The disk has refused: nothing is said or answered until it has taken everything anew, so that
-    /// others take over. What was said before rests on what it keeps.
-    pub(super) fn fail(&mut self, context: &mut ReplicaContext) {
-        let is_first = !self.has_failed();
-        let period = settings::millis(context.tunables().rewrite_ms);
-        self.failure = Some(failed_store::FailedStore::new(context.now, period));
-        if !is_first {
-            return;
-        }
-        self.writes.abandon();
-        let term = self.hard.term;
-        self.follow(context, term);
-        self.leader = None;
-        self.leader_heard = None;
-        self.proven = None;
-        let message = "this control takes no part in its group until the disk takes writes";
-        context.report(code::ResultCode::StoreFailed, message.into());
-    }
-
-    /// Gives a disk that has refused everything anew: the state that is committed, the log behind it,
-    /// term and vote. Nothing of these changes while the store has failed.
-    pub(super) fn tick_store(&mut self, context: &mut ReplicaContext) {
-        let Some(mut failure) = self.failure else {
-            return;
-        };
-        if !failure.is_due(context.now) {
-            return;
-        }
-        self.hard.commit = self.commit;
-        self.writes.last += 1;
-        let batch = PersistBatch {
-            batch: self.writes.last,
-            is_lazy: false,
-            is_whole: true,
-            hard: Some(self.hard),
-            truncate: None,
-            entries: self.log.slice_all(self.commit.next()),
-            snapshot: Some(Box::new(self.snapshot())),
-        };
-        failure.give(batch.batch);
-        self.failure = Some(failure);
-        let effect = ReplicationEffect::Persist(Box::new(batch));
-        context
-            .output
-            .effects
-            .push(event::Effect::Replication(effect));
-    }
-
-    /// The disk holds everything again: the replica is what it was when the disk refused.
-    fn store_returned(&mut self, context: &mut ReplicaContext) {
-        self.failure = None;
-        self.writes.resume(self.log.last().position, self.commit);
-        self.reset_election(context);
-        let message = "this control takes part in its group again";
-        context.report(code::ResultCode::StoreReturned, message.into());
-    }
-}
--- a/crates/engine/tests/replication/failing_disk.rs
+++ b/crates/engine/tests/replication/failing_disk.rs
@@ -33,16 +33,22 @@
     );
 }
 
+/// Has the leader's disk refuse a change; returns which control it is.
+fn leader_refused(network: &mut FakeNetwork) -> usize {
+    network.change("first");
+    let leader = network.leader().expect("the group is whole");
+    network.controls[leader].disk.is_refusing = true;
+    network.propose(leader, "refused", 1);
+    leader
+}
+
 /// Three voters. The leader's disk refuses for a while, the other two go on; it takes writes again.
 /// Then one of the two comes back with an empty disk: two of three votes are on disks that are
 /// there, so the group must be led, tell what it acknowledged, and heal.
 #[test]
 fn full_disk_returns() {
     let mut network = FakeNetwork::healing(3);
-    network.change("first");
-    let full = network.leader().expect("the group is whole");
-    network.controls[full].disk.is_refusing = true;
-    network.propose(full, "refused", 1);
+    let full = leader_refused(&mut network);
     network.settle(100);
     let acknowledged = network.change("meanwhile");
     network.controls[full].disk.is_refusing = false;
@@ -65,10 +71,7 @@
 #[test]
 fn refusal_lasts() {
     let mut network = FakeNetwork::new(3);
-    network.change("first");
-    let full = network.leader().expect("the group is whole");
-    network.controls[full].disk.is_refusing = true;
-    network.propose(full, "refused", 1);
+    let full = leader_refused(&mut network);
     network.settle(500);
     let leader = network.leader().expect("two of three are well");
     assert_ne!(leader, full);
@@ -90,10 +93,7 @@
 #[test]
 fn dies_while_refusing() {
     let mut network = FakeNetwork::new(3);
-    network.change("first");
-    let full = network.leader().expect("the group is whole");
-    network.controls[full].disk.is_refusing = true;
-    network.propose(full, "refused", 1);
+    let full = leader_refused(&mut network);
     network.settle(100);
     let acknowledged = network.change("meanwhile");
     network.crash(full, 9);
--- a/crates/engine/tests/replication/network.rs
+++ b/crates/engine/tests/replication/network.rs
@@ -285,7 +285,6 @@
 
     /// Proposes a change of one entry; returns the number that its answer will carry.
     pub(crate) fn propose(&mut self, index: usize, id: &str, expects: u64) -> u64 {
-        self.proposals += 1;
         let class = json!({"kind": "class", "name": id, "owner": "registru", "class": "counter"});
         let mut put = vec![class];
         if expects == 0 {
@@ -308,21 +307,11 @@
         let request = json!({"change_id": id, "expects": expects, "put": put});
         let request: change::ChangeRequest =
             serde_json::from_value(request).expect("the request is valid");
-        let proposal = replication::ChangeProposal {
-            number: replication::ProposalNumber(self.proposals),
-            author: replication::ChangeAuthor::Administrator,
-            content: change::content_digest(&request),
-            request,
-            at_ms: self.proposals,
-        };
-        let event = replication::ReplicationEvent::Propose(Box::new(proposal));
-        self.reduce(index, event::Event::Replication(event));
-        self.proposals
+        self.submit(index, request)
     }
 
     /// Proposes a document as the whole catalogue.
     pub(crate) fn replace(&mut self, index: usize, label: u64, base: u64, document: &str) -> u64 {
-        self.proposals += 1;
         let put = json!([
             {"kind": "owner", "name": "registru", "owner": "registru", "class": "counter"},
             {"kind": "class", "name": "counter", "owner": "registru", "class": "counter"},
@@ -335,6 +324,11 @@
         };
         let put = serde_json::from_value(put).expect("the entries are valid");
         let request = change::ChangeRequest::replacing(mark, put);
+        self.submit(index, request)
+    }
+
+    fn submit(&mut self, index: usize, request: change::ChangeRequest) -> u64 {
+        self.proposals += 1;
         let proposal = replication::ChangeProposal {
             number: replication::ProposalNumber(self.proposals),
             author: replication::ChangeAuthor::Administrator,
