Nothing is written to the log before the last write is synced

Found in looking for other ways in which a passing fault costs a control for good. The commit position was written without a sync after each commit, and the next entry behind it: a loss of power in that entry's sync may keep the entry and not the record before it. The hole is taken for damage (HZ5002) and the control does not start until an administrator empties its folder. By the platform's account of its disks it can happen. The position goes along with what is written next; nothing rests on it.

--- a/crates/engine/src/replication/leader.rs
+++ b/crates/engine/src/replication/leader.rs
@@ -391,7 +391,6 @@
                     .follow(event::Event::Dissemination(follow_up));
             }
         }
-        self.writes.keep_commit();
         if let ReplicaRole::Leader(leader) = &mut self.role {
             leader.answer_up_to(position, context);
         }
--- a/crates/engine/src/replication/persist.rs
+++ b/crates/engine/src/replication/persist.rs
@@ -1,4 +1,7 @@
 //! What goes to the disk, and what waits for it.
+//!
+//! The position up to which the log is committed goes along with what is written next. Nothing
+//! rests on it, and a write of its own would cost a sync, or stand unsynced before the next one.
 
 use std::collections::VecDeque;
 
@@ -13,8 +16,6 @@
 pub struct PersistBatch {
     /// Number of the batch, growing by one.
     pub batch: u64,
-    /// Whether it may wait for the sync of a later batch: nothing rests on it.
-    pub is_lazy: bool,
     /// Whether it holds everything that the disk must keep and replaces what is there.
     pub is_whole: bool,
     /// State to keep beside the log.
@@ -56,7 +57,6 @@
     pub(super) snapshot: ids::LogPosition,
     draft: PersistBatch,
     wants_hard: bool,
-    wants_commit: bool,
     held: Vec<event::Effect>,
     pending: VecDeque<PendingBatch>,
     last: u64,
@@ -82,11 +82,6 @@
         self.wants_hard = true;
     }
 
-    /// Has the commit position kept, at leisure.
-    pub(super) fn keep_commit(&mut self) {
-        self.wants_commit = true;
-    }
-
     /// Has an entry kept.
     pub(super) fn keep_entry(&mut self, entry: wire::LogEntry) {
         self.draft.entries.push(entry);
@@ -151,7 +146,6 @@
 
     fn has_draft(&self) -> bool {
         self.wants_hard
-            || self.wants_commit
             || self.draft.truncate.is_some()
             || !self.draft.entries.is_empty()
             || self.draft.snapshot.is_some()
@@ -161,10 +155,6 @@
         let mut batch = std::mem::take(&mut self.draft);
         batch.batch = self.next_batch().batch;
         batch.hard = Some(hard);
-        batch.is_lazy = !self.wants_hard
-            && batch.truncate.is_none()
-            && batch.entries.is_empty()
-            && batch.snapshot.is_none();
         self.pending.push_back(PendingBatch {
             batch: self.last,
             has_hard: self.wants_hard,
@@ -172,7 +162,6 @@
             held: std::mem::take(&mut self.held),
         });
         self.wants_hard = false;
-        self.wants_commit = false;
         batch
     }
 }
--- a/crates/engine/tests/replication/disk.rs
+++ b/crates/engine/tests/replication/disk.rs
@@ -1,6 +1,7 @@
 //! A disk in memory: what is written is kept once it is synced, unless the disk refuses.
 
 use hazeltiller_engine::replication;
+use hazeltiller_wire::replication as wire;
 
 /// A control's disk and what is on its way there.
 #[derive(Debug, Default)]
@@ -8,6 +9,8 @@
     /// What a restarted process finds.
     pub(crate) kept: replication::RecoveredLog,
     unsynced: Vec<replication::PersistBatch>,
+    /// State beside the log as it was last handed over.
+    last_hard: Option<wire::HardState>,
     /// Whether it takes no bytes now.
     pub(crate) is_refusing: bool,
     /// A store keeps nothing after an error until a whole batch, see `hazeltiller_store::LogStore`.
@@ -17,13 +20,22 @@
 impl FakeDisk {
     pub(crate) fn new(kept: replication::RecoveredLog) -> Self {
         Self {
+            last_hard: Some(kept.hard),
             kept,
             ..Self::default()
         }
     }
 
-    /// Takes a batch, to be written at the next sync.
+    /// Takes a batch, to be written at the next sync. Each must be worth one: of two writes that
+    /// are not synced a loss of power may keep the second alone, and no record stands behind a hole.
     pub(crate) fn take(&mut self, batch: replication::PersistBatch) {
+        let hard = |hard: wire::HardState| (hard.replica, hard.term, hard.vote, hard.is_forming);
+        let is_needed = batch.truncate.is_some()
+            || !batch.entries.is_empty()
+            || batch.snapshot.is_some()
+            || batch.hard.map(hard) != self.last_hard.map(hard);
+        assert!(is_needed, "a write that nothing rests on");
+        self.last_hard = batch.hard.or(self.last_hard);
         self.unsynced.push(batch);
     }
 
@@ -50,6 +62,7 @@
             self.write(batch);
         }
         self.has_failed = false;
+        self.last_hard = Some(self.kept.hard);
     }
 
     /// What a store would write now.
--- a/crates/store/src/file.rs
+++ b/crates/store/src/file.rs
@@ -109,33 +109,35 @@
         Ok((store, recovered, !is_new))
     }
 
+    /// Writes batches, each in one piece with those beside it, and syncs them before anything else is
+    /// written: of two writes that are not synced a loss of power may keep the second alone, and
+    /// a record behind a hole is taken for damage.
     fn write_all(&mut self, batches: Vec<replication::PersistBatch>) -> StoreResult<()> {
         let mut bytes = Vec::new();
-        let mut needs_sync = false;
         for batch in batches {
             if batch.is_whole {
                 bytes.clear();
-                needs_sync = false;
                 self.replace(&batch)?;
                 continue;
             }
-            needs_sync |= !batch.is_lazy;
             push_batch(&mut bytes, &batch);
             if let Some(snapshot) = batch.snapshot {
-                self.append(&std::mem::take(&mut bytes), false)?;
+                // The shorter log behind the snapshot is made of this one, and synced.
+                self.append(&std::mem::take(&mut bytes))?;
                 self.keep_snapshot(&snapshot)?;
             }
         }
-        self.append(&bytes, needs_sync)
+        if bytes.is_empty() {
+            return Ok(());
+        }
+        self.append(&bytes)?;
+        let path = self.folder.join(LOG_FILE);
+        self.log.sync_data().context(disk("syncing", &path))
     }
 
-    fn append(&mut self, bytes: &[u8], needs_sync: bool) -> StoreResult<()> {
+    fn append(&mut self, bytes: &[u8]) -> StoreResult<()> {
         let path = self.folder.join(LOG_FILE);
-        self.log.write_all(bytes).context(disk("writing", &path))?;
-        if needs_sync {
-            self.log.sync_data().context(disk("syncing", &path))?;
-        }
-        Ok(())
+        self.log.write_all(bytes).context(disk("writing", &path))
     }
 
     fn keep_snapshot(&mut self, snapshot: &wire::LogSnapshot) -> StoreResult<()> {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -12,8 +12,8 @@
 
 /// Where batches are kept; a trait so that tests can put a failing disk behind it.
 pub trait LogStore: Send {
-    /// Writes batches in order and syncs them: when this returns they are kept. Batches that are
-    /// all lazy are written only. After an error the store keeps nothing more, since what a failed
-    /// sync has left on the disk cannot be known, until it is given a batch that is whole.
+    /// Writes batches in order and syncs them: when this returns they are kept. After an error the
+    /// store keeps nothing more, since what a failed sync has left on the disk cannot be known, until
+    /// it is given a batch that is whole.
     fn write(&mut self, batches: Vec<replication::PersistBatch>) -> Result<(), error::StoreError>;
 }
