An emptied control grants no claim on the word of its settings

Cause: a control whose folder was emptied while its settings still said "bootstrap": true took its new file of claims for whole, so of three controls two emptied ones granted a request again that had run. Test first: once::emptied_while_bootstrapping, red on the untouched code ("kept ran 2 times"). Mend of the class: a first start is told by the group alone. Ruled out: is_forming, which ends with a refusal that a crash may hide. Elsewhere a word of the settings decides only what the group confirms (founding needs every address to be forming).

--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -231,7 +231,7 @@
     credentials: handshake::LinkCredentials,
     registry: &parts::PartRegistry,
 ) -> Result<Arc<ProcessContext>, StartError> {
-    let mut is_new = options.bootstrap;
+    let mut is_folder_new = false;
     let (store, recovered) = if credentials.identity.is_control {
         let folder = settings.data_folder.as_ref().context(NoFolderSnafu)?;
         let first = || wire_replication::HardState {
@@ -242,7 +242,7 @@
         let opened = store_file::FileStore::open(folder, first).context(StoreSnafu)?;
         let (file, recovered, was_there) = opened;
         snafu::ensure!(!options.bootstrap || !was_there, StatePresentSnafu);
-        is_new |= settings.bootstrap && !was_there;
+        is_folder_new = !was_there;
         let tunables = &settings.tunables.replication;
         let state = replication::ReplicationState::recover(recovered, tunables);
         (Some(file), Some(state))
@@ -263,10 +263,10 @@
     }
     let claims_file = match &settings.data_folder {
         Some(folder) if credentials.identity.is_control => {
-            let opened = store_claims::FileClaims::open(folder, is_new);
+            let opened = store_claims::FileClaims::open(folder, is_folder_new);
             let (file, recovered) = opened.context(StoreSnafu)?;
             let acceptor =
-                ledger::acceptor::AcceptorState::recover(recovered.claims, recovered.is_whole);
+                ledger::acceptor::AcceptorState::recover(recovered.claims, recovered.standing);
             state.ledger.acceptor = Some(acceptor);
             Some(file)
         }
--- a/crates/engine/src/ledger/acceptor.rs
+++ b/crates/engine/src/ledger/acceptor.rs
@@ -6,7 +6,7 @@
 use hazeltiller_wire::ledger as wire;
 use indexmap::IndexMap;
 
-use crate::{event, failed_store, ledger, reducer, settings};
+use crate::{event, failed_store, ledger, reducer, replication, settings};
 
 /// Records beyond twice the claims after which the file is rewritten.
 const REWRITE_SLACK: usize = 4096;
@@ -31,8 +31,8 @@
 pub struct AcceptorState {
     claims: IndexMap<wire::RequestDigest, KeptClaim>,
     order: VecDeque<(time::MonotonicTime, wire::RequestDigest, wire::ClaimId)>,
-    /// Whether no claim that was ever granted here can be missing.
-    is_whole: bool,
+    /// Whether claims that were granted here can be missing.
+    standing: wire::ClaimsStanding,
     grants: VecDeque<WaitingGrant>,
     /// Records that need no sync of their own.
     unwritten: Vec<wire::ClaimRecord>,
@@ -45,10 +45,11 @@
 
 impl AcceptorState {
     /// The state of a control that found these claims on its disk. One whose disk may have lost
-    /// claims grants none until those have expired everywhere.
+    /// claims grants none until those have expired everywhere; one whose folder is new grants none
+    /// until the group proves that no claim can have been granted from an earlier one.
     pub fn recover(
         stored: IndexMap<wire::RequestDigest, wire::StoredClaim>,
-        is_whole: bool,
+        standing: wire::ClaimsStanding,
     ) -> Self {
         let start = time::MonotonicTime::default();
         let order = stored
@@ -63,7 +64,7 @@
         Self {
             claims,
             order,
-            is_whole,
+            standing,
             grants: VecDeque::new(),
             unwritten: Vec::new(),
             last_batch: 0,
@@ -85,7 +86,9 @@
 
     /// Whether one more claim can be kept and granted now.
     fn can_keep(&self, most: usize) -> bool {
-        self.is_whole && self.failure.is_none() && self.claims.len() < most
+        self.standing == wire::ClaimsStanding::Whole
+            && self.failure.is_none()
+            && self.claims.len() < most
     }
 
     fn matches(&self, request: &wire::RequestDigest, claim: wire::ClaimId) -> bool {
@@ -125,7 +128,7 @@
     }
 
     fn whole_file(&self) -> Vec<wire::ClaimRecord> {
-        let mut records = vec![wire::ClaimRecord::Wholeness(self.is_whole)];
+        let mut records = vec![wire::ClaimRecord::Standing(self.standing)];
         for (request, kept) in &self.claims {
             let claim = kept.stored.claim;
             records.push(wire::ClaimRecord::Kept(*request, claim));
@@ -153,13 +156,17 @@
 pub fn tick(state: &mut reducer::EngineState, output: &mut event::ReducerOutput) {
     let (now, tunables) = (state.now, &state.settings.tunables.ledger);
     let longest = settings::millis(tunables.retention_ms);
+    let replication = state.replication.as_ref();
+    let has_founded = replication.is_some_and(replication::ReplicationState::has_founded);
     let Some(acceptor) = &mut state.ledger.acceptor else {
         return;
     };
     acceptor.expire(now, longest);
-    if !acceptor.is_whole && now.since(time::MonotonicTime::default()) >= longest {
-        acceptor.is_whole = true;
-        let record = wire::ClaimRecord::Wholeness(true);
+    let has_expired = now.since(time::MonotonicTime::default()) >= longest;
+    let is_proven = acceptor.standing == wire::ClaimsStanding::Unproven && has_founded;
+    if acceptor.standing != wire::ClaimsStanding::Whole && (has_expired || is_proven) {
+        acceptor.standing = wire::ClaimsStanding::Whole;
+        let record = wire::ClaimRecord::Standing(acceptor.standing);
         acceptor.unwritten.push(record);
     }
     match &mut acceptor.failure {
--- a/crates/engine/src/replication/group.rs
+++ b/crates/engine/src/replication/group.rs
@@ -95,6 +95,18 @@
         context.output.send(to, message);
     }
 
+    /// Whether the log shows that this replica, and so its folder, is one of those that founded the group.
+    /// A folder that was emptied since then belongs to a replica that came later, whatever the settings
+    /// say of a first start; so does one whose log no longer reaches back to the founding.
+    pub fn has_founded(&self) -> bool {
+        let first = ids::LogPosition(1);
+        let founding = self.log.get(first).filter(|_| self.commit >= first);
+        founding.is_some_and(|entry| match &entry.payload {
+            wire::LogPayload::Group(group) => group.has(self.hard.replica),
+            _ => false,
+        })
+    }
+
     pub(super) fn standing(&self) -> wire::ReplicaStanding {
         if self.is_voter() {
             wire::ReplicaStanding::Voter
--- a/crates/engine/tests/ledger.rs
+++ b/crates/engine/tests/ledger.rs
@@ -85,10 +85,12 @@
                         kept.is_done = true;
                     }
                 }
-                wire_ledger::ClaimRecord::Wholeness(_) => {}
+                wire_ledger::ClaimRecord::Standing(_) => {}
             }
         }
-        self.state.ledger.acceptor = Some(ledger::acceptor::AcceptorState::recover(stored, true));
+        let whole = wire_ledger::ClaimsStanding::Whole;
+        let acceptor = ledger::acceptor::AcceptorState::recover(stored, whole);
+        self.state.ledger.acceptor = Some(acceptor);
     }
 }
 
@@ -478,7 +480,8 @@
 #[test]
 fn lost_disk_waits() {
     let mut group = Group::new(1);
-    let acceptor = ledger::acceptor::AcceptorState::recover(IndexMap::new(), false);
+    let lost = wire_ledger::ClaimsStanding::Lost;
+    let acceptor = ledger::acceptor::AcceptorState::recover(IndexMap::new(), lost);
     group.processes[0].state.ledger.acceptor = Some(acceptor);
     group.send_request(1);
     group.settle();
--- a/crates/store/src/claims.rs
+++ b/crates/store/src/claims.rs
@@ -3,7 +3,7 @@
 //! Records are appended and synced in groups; each has its length and its checksum. A record cut
 //! short at the end was never reported as kept. The file is rewritten when most of it is about
 //! claims that are gone. A file that was just made is told apart from an empty one, since its
-//! folder may have held claims that are lost.
+//! folder may have held claims that are lost, and so is one whose whole folder was just made.
 
 use std::{
     fs,
@@ -29,8 +29,8 @@
 pub struct RecoveredClaims {
     /// Claims by request, in the order in which they were kept.
     pub claims: IndexMap<ledger::RequestDigest, ledger::StoredClaim>,
-    /// Whether no claim that was ever reported as kept can be missing.
-    pub is_whole: bool,
+    /// Whether claims that were reported as kept can be missing.
+    pub standing: ledger::ClaimsStanding,
 }
 
 /// Where claims are kept; a trait so that tests can put a failing disk behind it.
@@ -50,11 +50,11 @@
 }
 
 impl FileClaims {
-    /// Opens or makes the file in a folder and reads what it holds; `is_first` where no claim can
-    /// have been kept before. A damaged file is put aside, and a fresh one is not whole.
+    /// Opens or makes the file in a folder and reads what it holds; `is_folder_new` where the folder held
+    /// nothing else either. A damaged file is put aside, and its claims count as lost.
     pub fn open(
         folder: &Path,
-        is_first: bool,
+        is_folder_new: bool,
     ) -> Result<(Self, RecoveredClaims), error::StoreError> {
         let path = folder.join(CLAIMS_FILE);
         let disk = |action| error::DiskSnafu {
@@ -68,7 +68,12 @@
             Err(source) => return Err(source).context(disk("reading")),
         };
         if bytes.is_empty() {
-            return Self::make(folder, is_first);
+            let standing = if is_folder_new {
+                ledger::ClaimsStanding::Unproven
+            } else {
+                ledger::ClaimsStanding::Lost
+            };
+            return Self::make(folder, standing);
         }
         match read_claims(&path, &bytes) {
             Ok((recovered, kept)) => {
@@ -87,12 +92,15 @@
                 log::error!("{}: {error}; it is put aside", error.code());
                 let aside = folder.join(DAMAGED_FILE);
                 fs::rename(&path, aside).context(disk("putting aside"))?;
-                Self::make(folder, false)
+                Self::make(folder, ledger::ClaimsStanding::Lost)
             }
         }
     }
 
-    fn make(folder: &Path, is_whole: bool) -> Result<(Self, RecoveredClaims), error::StoreError> {
+    fn make(
+        folder: &Path,
+        standing: ledger::ClaimsStanding,
+    ) -> Result<(Self, RecoveredClaims), error::StoreError> {
         let path = folder.join(CLAIMS_FILE);
         let file = fs::File::create(&path).context(error::DiskSnafu {
             action: "making",
@@ -102,9 +110,9 @@
             folder: folder.into(),
             file,
         };
-        made.rewrite(&[ledger::ClaimRecord::Wholeness(is_whole)])?;
+        made.rewrite(&[ledger::ClaimRecord::Standing(standing)])?;
         let claims = IndexMap::new();
-        Ok((made, RecoveredClaims { claims, is_whole }))
+        Ok((made, RecoveredClaims { claims, standing }))
     }
 }
 
@@ -197,7 +205,7 @@
 fn apply(recovered: &mut RecoveredClaims, record: ledger::ClaimRecord) {
     let claims = &mut recovered.claims;
     match record {
-        ledger::ClaimRecord::Wholeness(is_whole) => recovered.is_whole = is_whole,
+        ledger::ClaimRecord::Standing(standing) => recovered.standing = standing,
         ledger::ClaimRecord::Kept(request, claim) => {
             let is_done = false;
             claims.insert(request, ledger::StoredClaim { claim, is_done });
--- a/crates/store/tests/claims.rs
+++ b/crates/store/tests/claims.rs
@@ -4,7 +4,7 @@
 
 use hazeltiller_store::claims::{self, ClaimStore};
 use hazeltiller_units::ids;
-use hazeltiller_wire::ledger::{ClaimId, ClaimRecord, RequestDigest};
+use hazeltiller_wire::ledger::{ClaimId, ClaimRecord, ClaimsStanding, RequestDigest};
 
 fn claim(number: u64) -> ClaimId {
     ClaimId {
@@ -20,7 +20,10 @@
 
 fn filled(folder: &Path) {
     let (mut file, recovered) = claims::FileClaims::open(folder, true).expect("a fresh folder");
-    assert!(recovered.is_whole && recovered.claims.is_empty());
+    assert_eq!(recovered.standing, ClaimsStanding::Unproven);
+    assert!(recovered.claims.is_empty());
+    file.append(&[ClaimRecord::Standing(ClaimsStanding::Whole)])
+        .expect("a sound disk");
     file.append(&[kept(1), kept(2)]).expect("a sound disk");
     file.append(&[kept(3)]).expect("a sound disk");
     let done = ClaimRecord::Done(RequestDigest([2; 16]), claim(2));
@@ -31,7 +34,10 @@
 fn reopened(folder: &Path) -> (Vec<u8>, bool) {
     let (_file, recovered) = claims::FileClaims::open(folder, false).expect("a sound disk");
     let numbers = recovered.claims.keys().map(|request| request.0[0]);
-    (numbers.collect(), recovered.is_whole)
+    (
+        numbers.collect(),
+        recovered.standing == ClaimsStanding::Whole,
+    )
 }
 
 #[test]
@@ -81,7 +87,7 @@
     let folder = tempfile::tempdir().expect("a temporary folder");
     filled(folder.path());
     let (mut file, _recovered) = claims::FileClaims::open(folder.path(), false).expect("sound");
-    let whole = [ClaimRecord::Wholeness(true), kept(3)];
+    let whole = [ClaimRecord::Standing(ClaimsStanding::Whole), kept(3)];
     file.rewrite(&whole).expect("a sound disk");
     file.append(&[kept(4)]).expect("a sound disk");
     assert_eq!(reopened(folder.path()), (vec![3, 4], true));
--- a/crates/wire/src/ledger.rs
+++ b/crates/wire/src/ledger.rs
@@ -26,11 +26,25 @@
     pub node: SocketAddr,
 }
 
+/// Whether claims that a control once granted can be missing from its file. Records number the cases in
+/// this order.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ClaimsStanding {
+    /// Some may be: the file was lost or damaged.
+    #[default]
+    Lost,
+    /// None can be.
+    Whole,
+    /// The file was made together with its folder. Whether the folder was ever there before, only the
+    /// control group knows.
+    Unproven,
+}
+
 /// One record of a control's file of claims.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ClaimRecord {
-    /// Whether no claim that was ever reported as kept can be missing before this record.
-    Wholeness(bool),
+    /// What can be missing before this record.
+    Standing(ClaimsStanding),
     /// A claim is kept.
     Kept(RequestDigest, ClaimId),
     /// The request of a claim ran.
--- a/tests/all/once.rs
+++ b/tests/all/once.rs
@@ -6,6 +6,7 @@
 use hazeltiller_testkit::{fleet, proxy, wait};
 use http_body_util::Full;
 use hyper::Request;
+use serde_json::json;
 use tokio::time;
 
 use crate::support;
@@ -395,6 +396,28 @@
     );
 }
 
+/// Settings that still ask for a first start say nothing of what a folder has held: of three controls that
+/// kept a claim two are emptied, and neither grants the same request anew.
+#[tokio::test(flavor = "multi_thread")]
+async fn emptied_while_bootstrapping() {
+    let mut scene = Scene::start().await;
+    let first = scene.send("node-1", "kept").await;
+    assert!(matches!(first, Told::Answer(_)), "{first:?}");
+    let emptied = ["control-2", "control-3"];
+    scene.fleet.kill(&emptied).await;
+    for control in emptied {
+        scene.fleet.empty_data(control);
+        scene.fleet.instance(control).settings["bootstrap"] = json!(true);
+    }
+    scene.fleet.start(&emptied, &[]).await;
+    // The holder of the claim, which would tell of the run, is gone too.
+    scene.fleet.kill(&["node-1"]).await;
+    for _ in 0..3 {
+        let told = scene.send("node-3", "kept").await;
+        assert!(matches!(told, Told::Refusal { .. }), "{told:?}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn membership_moves() {
     let mut scene = Scene::start().await;
