--- a/crates/daemon/src/pool/nodes.rs
+++ b/crates/daemon/src/pool/nodes.rs
@@ -24,9 +24,9 @@
 
 /// Silence of a connection with calls on it after which the other node is asked for a sign of life.
 const CALLS_SILENCE: Duration = Duration::from_millis(300);
-/// Time in which that sign must come. It waits behind what else the link carries: on links of 2 Mbit/s
-/// under overload for 0.7 s and more, and a link given up then takes all calls on it along. Calls on a
-/// connection that went silent are given up, or tried elsewhere, after both times.
+/// Time in which that sign must come. It waits behind what else a narrow link carries, and a link that is given
+/// up takes all calls on it along. Calls on a connection that went silent are given up, or tried elsewhere,
+/// after both times.
 const CALLS_SIGN: Duration = Duration::from_millis(1500);
 /// Longest time that a call waits for a connection. Nothing of it was sent by then, so that another node
 /// may take it; a dial and its greeting take three round trips, 6 ms between data centres of a region.
--- a/crates/daemon/src/settings/installation.rs
+++ b/crates/daemon/src/settings/installation.rs
@@ -24,7 +24,6 @@
 /// Time before the kill by which a process has ended.
 const EXIT_MS: u64 = 300;
 /// Part of the second tries granted that calls may spend: the rest is for what these tries call in turn.
-/// The whole of them served no more (mean worth 0.823 against 0.825 with half, 20 days each).
 const SPENT_PART: f64 = 0.5;
 /// Time in which peers learn by gossip that a node leaves: some rounds of rumours.
 const TELL_MS: u64 = 700;
--- a/crates/engine/src/calls/ingress.rs
+++ b/crates/engine/src/calls/ingress.rs
@@ -13,8 +13,7 @@
 const EARLIEST_RETURN: f64 = 0.75;
 const LATEST_RETURN: f64 = 1.5;
 
-/// Time after which a caller may come back to a node that holds no catalogue yet. Such a node has just
-/// started; where the whole fleet had, 9 of 14 nodes held one 0.3 s after they began to listen.
+/// Time after which a caller may come back to a node that holds no catalogue yet: it has just started.
 const CATALOGUE_RETURN: Duration = Duration::from_millis(500);
 /// Time after which a caller may come back where no target is known that may take its call: one that starts
 /// or stops announces itself within about this time.
