--- a/crates/testkit/src/model.rs
+++ b/crates/testkit/src/model.rs
@@ -49,7 +49,7 @@
     pub rate: f64,
     /// What their callers do where there is no good answer.
     pub habit: CallerHabit,
-    /// Calls that each run makes in turn; it fails if one of them does.
+    /// Calls that each run makes itself; it fails if one of them does.
     pub inner: Option<InnerCalls>,
 }
 
