Only answers that tell their length are held between two nodes

The hold between nodes also held answers of unknown length, for between two nodes nothing tells a streaming answer from one that ends with its connection: an answer that needs the rest of its request waited until its link was lost.

--- a/crates/daemon/src/callers/attempt.rs
+++ b/crates/daemon/src/callers/attempt.rs
@@ -59,12 +59,16 @@
     (answer, report)
 }
 
-/// Waits until a small answer of another node is whole.
+/// Waits until a small answer of another node is whole. One that does not tell its length is still being made,
+/// perhaps of what its caller is yet to send, and streams on.
 async fn hold_answer(
     context: &process::ProcessContext,
     response: Response<http::StreamBody>,
     due: time::Instant,
 ) -> AttemptAnswer {
+    if response.body().size_hint().exact().is_none() {
+        return Ok(response);
+    }
     let bound = context.requests.answer_hold_bytes;
     let (parts, body) = response.into_parts();
     match hold::hold(body, &parts, bound, due).await {
