A damaged length in the file of claims is damage, not a torn tail

Cause: a record that reaches beyond the end of the file was taken for one that was never kept, so a flipped length lost the claims behind it while the file still passed for whole. Now the tail counts as torn only where no whole record follows. In the last record itself a flip cannot be told from a torn write.

--- a/crates/store/src/claims.rs
+++ b/crates/store/src/claims.rs
@@ -183,6 +183,10 @@
         };
         let (start, length) = (offset + HEADER_BYTES, number(0) as usize);
         let Some(record) = bytes.get(start..start + length) else {
+            // A length that was damaged reaches beyond the end too, but then whole records follow.
+            if has_record_behind(bytes, offset) {
+                return Err(damaged(offset, "the length does not match"));
+            }
             break;
         };
         let is_last = bytes[start + length..].iter().all(|byte| *byte == 0);
@@ -202,6 +206,25 @@
     Ok((recovered, offset))
 }
 
+/// Whether a whole record begins anywhere behind an offset.
+fn has_record_behind(bytes: &[u8], offset: usize) -> bool {
+    (offset + 1..bytes.len()).any(|at| whole_record(bytes, at).is_some())
+}
+
+/// The record that begins at an offset, if one does.
+fn whole_record(bytes: &[u8], offset: usize) -> Option<ledger::ClaimRecord> {
+    let header = bytes.get(offset..offset + HEADER_BYTES)?;
+    let (length, sum) = header.split_at(HEADER_BYTES / 2);
+    let length = u32::from_le_bytes(length.try_into().ok()?) as usize;
+    let sum = u32::from_le_bytes(sum.try_into().ok()?);
+    let start = offset + HEADER_BYTES;
+    let record = bytes.get(start..start.checked_add(length)?)?;
+    let is_sound = length > 0 && crc32fast::hash(record) == sum;
+    is_sound
+        .then(|| postcard::from_bytes(record).ok())
+        .flatten()
+}
+
 fn apply(recovered: &mut RecoveredClaims, record: ledger::ClaimRecord) {
     let claims = &mut recovered.claims;
     match record {
--- a/crates/store/tests/claims.rs
+++ b/crates/store/tests/claims.rs
@@ -82,6 +82,26 @@
     }
 }
 
+/// Wherever a byte before the last record is damaged, the claims do not pass for whole.
+#[test]
+fn any_byte_damaged() {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    filled(folder.path());
+    let path = folder.path().join("claims");
+    let whole = std::fs::read(&path).expect("it was written");
+    let last = ClaimRecord::Released(RequestDigest([1; 16]), claim(1));
+    let last = postcard::to_stdvec(&last).expect("records hold no maps");
+    let header_bytes = 8;
+    for place in 0..whole.len() - last.len() - header_bytes {
+        for flip in [0x01, 0x55, 0xff] {
+            let mut bytes = whole.clone();
+            bytes[place] ^= flip;
+            std::fs::write(&path, bytes).expect("it can be written");
+            assert_eq!(reopened(folder.path()), (vec![], false), "byte {place}");
+        }
+    }
+}
+
 #[test]
 fn rewritten() {
     let folder = tempfile::tempdir().expect("a temporary folder");
