Sums by route and second: what refusals and slots cost

Lines of single requests are bounded and favour refusals, so the incident's hypotheses could not be told apart. Each second every process now tells, for routes of which a call was refused or a run failed, how many calls there were, how long refused ones were held, how long offers were on their way until they were given back, and the slot time of runs by what came of them (route_usage); lines of given back offers say how long they took. Three metrics tell the same.

No decision is changed. seeing::slots_accounted.

--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -100,6 +100,12 @@
     runs: counter "hazeltiller_runs_total" ["service", "result"];
     /// Time from an offer to the end of its run, in seconds.
     run_seconds: histogram "hazeltiller_run_seconds" ["service"];
+    /// Time that slots of own targets were used, in microseconds, by what came of the runs: in_time (within the target latency), late or failed.
+    slot_time: counter "hazeltiller_slot_microseconds_total" ["service", "class", "result"];
+    /// Time from a caller's request to its refusal, in seconds.
+    refused_seconds: histogram "hazeltiller_refused_seconds" ["service", "class"];
+    /// Time from an offer until its target's node gave it back, in seconds, as the caller's node sees it.
+    given_back_seconds: histogram "hazeltiller_given_back_seconds" ["service"];
     /// Calls that run at an own target.
     running: gauge "hazeltiller_running" ["target"];
     /// Calls that wait for a slot of an own target.
--- a/crates/daemon/src/observer.rs
+++ b/crates/daemon/src/observer.rs
@@ -19,6 +19,10 @@
 use engine_timeline::{CallFailure, TimelineEvent};
 
 mod fleet;
+mod usage;
+
+/// Smallest status of an answer that says that the run came to nothing.
+const FAILED_STATUS: u16 = 500;
 
 /// A call that goes through this process.
 #[derive(Debug)]
@@ -26,12 +30,19 @@
     request: ids::RequestId,
     is_ingress: bool,
     began: Instant,
+    /// When its latest try began, or when it got a slot here.
+    step_began: Instant,
+    /// Time from its offer here within which its answer is of full worth.
+    latency_left: Duration,
     status: u16,
     /// What was noted of it, logged when it has ended.
     records: Vec<timeline::TimelineRecord>,
+    /// Whether it runs at an own target.
+    has_slot: bool,
     /// Known once a target was chosen.
     service: Option<ids::EntryName>,
     class: Option<ids::EntryName>,
+    route: Option<ids::EntryName>,
 }
 
 /// Derives events of the time line.
@@ -42,6 +53,7 @@
     calls: IndexMap<ids::CallId, OpenCall>,
     changes: IndexMap<u64, ids::ChangeId>,
     fleet: fleet::FleetWatch,
+    usage: usage::UsageTable,
 }
 
 impl EngineObserver {
@@ -53,20 +65,26 @@
             calls: IndexMap::new(),
             changes: IndexMap::new(),
             fleet: fleet::FleetWatch::default(),
+            usage: usage::UsageTable::default(),
         }
     }
 
     /// Sees a call before its first event.
     pub fn open(&mut self, call: ids::CallId, request: ids::RequestId, event: &calls::CallEvent) {
         let is_ingress = matches!(event, calls::CallEvent::Arrived(_));
+        let began = Instant::now();
         let open = OpenCall {
             request,
             is_ingress,
-            began: Instant::now(),
+            began,
+            step_began: began,
+            latency_left: Duration::MAX,
             status: 0,
             records: Vec::new(),
+            has_slot: false,
             service: None,
             class: None,
+            route: None,
         };
         self.calls.insert(call, open);
     }
@@ -79,7 +97,10 @@
     /// Sees an event before it is reduced.
     pub fn event(&mut self, state: &reducer::EngineState, event: &event::Event) {
         match event {
-            event::Event::Tick => self.fleet.look(state, &self.timeline),
+            event::Event::Tick => {
+                self.fleet.look(state, &self.timeline);
+                self.usage.look(state.now, &self.timeline);
+            }
             event::Event::Received { from, .. } => {
                 self.fleet.heard(from.address, &self.timeline);
             }
@@ -188,6 +209,10 @@
             }
             calls::CallEvent::Offered { call, offer } => {
                 self.name_call(*call, offer);
+                self.usage.of_route(&offer.route).offers += 1;
+                if let Some(open) = self.calls.get_mut(call) {
+                    open.latency_left = Duration::from_millis(u64::from(offer.latency_left_ms));
+                }
                 self.note_call(*call, |request| TimelineEvent::CallOffered {
                     request,
                     target: offer.target.clone(),
@@ -213,10 +238,26 @@
             calls::AttemptResult::NotReached => (CallFailure::NotReached, None),
             calls::AttemptResult::Lost => (CallFailure::Lost, None),
         };
+        let Some(open) = self.calls.get(&call) else {
+            return;
+        };
+        let took = open.step_began.elapsed();
+        if failure == CallFailure::Refused {
+            let [service, _class] = open.labels();
+            let metric = self
+                .metrics
+                .given_back_seconds
+                .with_label_values(&[service]);
+            metric.observe(took.as_secs_f64());
+            if let Some(route) = &open.route {
+                self.usage.of_route(route).note_given_back(took);
+            }
+        }
         self.note_call(call, |request| TimelineEvent::CallTryFailed {
             request,
             failure,
             code,
+            took_us: took.as_micros() as u64,
         });
     }
 
@@ -227,6 +268,8 @@
         let failure = match result {
             calls::RunResult::Done { status } => {
                 self.count_run(open, "done");
+                self.usage
+                    .end_run(open, status < FAILED_STATUS, &self.metrics);
                 let done = TimelineEvent::RunDone {
                     took_us: open.took_us(),
                     request: open.request.clone(),
@@ -244,6 +287,7 @@
             calls::RunResult::CallerGone => CallFailure::CallerGone,
         };
         self.count_run(open, failure_word(failure));
+        self.usage.end_run(open, false, &self.metrics);
         let request = open.request.clone();
         self.close(call, Some(TimelineEvent::RunFailed { request, failure }));
     }
@@ -263,6 +307,8 @@
             calls::CallEffect::Attempt(call, plan) => {
                 self.name_call(*call, &plan.offer);
                 self.count_try(&plan.offer);
+                self.usage.of_route(&plan.offer.route).tries += 1;
+                self.begin_step(*call);
                 self.note_call(*call, |request| TimelineEvent::CallTried {
                     request,
                     attempt: plan.offer.attempt,
@@ -273,6 +319,10 @@
                 });
             }
             calls::CallEffect::Run(call, plan) => {
+                self.begin_step(*call);
+                if let Some(open) = self.calls.get_mut(call) {
+                    open.has_slot = true;
+                }
                 self.note_call(*call, |request| TimelineEvent::CallRun {
                     request,
                     target: plan.target.clone(),
@@ -283,6 +333,9 @@
                     self.count_call(open, "answered");
                     let latency = self.metrics.call_seconds.with_label_values(&open.labels());
                     latency.observe(open.began.elapsed().as_secs_f64());
+                    if let Some(route) = &open.route {
+                        self.usage.of_route(route).answered += 1;
+                    }
                     let (status, took_us) = (open.status, open.took_us());
                     self.note_call(*call, |request| TimelineEvent::CallAnswered {
                         request,
@@ -314,9 +367,18 @@
                 },
             );
         }
-        let is_ingress = open.is_ingress;
-        let took_us = open.took_us();
-        if is_ingress {
+        let took = open.began.elapsed();
+        if let Some(route) = &open.route {
+            let usage = self.usage.of_route(route);
+            usage.note_refusal(open.is_ingress, took);
+        }
+        let took_us = took.as_micros() as u64;
+        if open.is_ingress {
+            let held = self
+                .metrics
+                .refused_seconds
+                .with_label_values(&open.labels());
+            held.observe(took.as_secs_f64());
             return self.note_call(call, |request| TimelineEvent::CallRefused {
                 request,
                 code,
@@ -333,6 +395,7 @@
             running: load.map(|load| load.in_flight),
             queued: load.map(|load| load.queued),
             slots: load.map(|load| load.slots),
+            held_us: took_us,
         };
         // Nothing of it runs, so that its end is no failed run.
         self.close(call, Some(refused));
@@ -342,6 +405,13 @@
         if let Some(open) = self.calls.get_mut(&call) {
             open.service = Some(offer.service.clone());
             open.class = Some(offer.class.clone());
+            open.route = Some(offer.route.clone());
+        }
+    }
+
+    fn begin_step(&mut self, call: ids::CallId) {
+        if let Some(open) = self.calls.get_mut(&call) {
+            open.step_began = Instant::now();
         }
     }
 
--- a/crates/daemon/src/timeline.rs
+++ b/crates/daemon/src/timeline.rs
@@ -180,7 +180,7 @@
             at,
             event,
         };
-        let ring = if record.event.request().is_some() {
+        let ring = if record.event.is_of_calls() {
             &mut state.calls
         } else {
             &mut state.system
--- a/crates/engine/src/timeline.rs
+++ b/crates/engine/src/timeline.rs
@@ -261,6 +261,8 @@
         failure: CallFailure,
         /// Why, where the owner node said so.
         code: Option<code::ResultCode>,
+        /// Time since the try began, in microseconds.
+        took_us: u64,
     },
     /// The caller gets a target's answer.
     CallAnswered {
@@ -307,6 +309,8 @@
         queued: Option<u32>,
         /// Requests that it was given at once.
         slots: Option<u32>,
+        /// Time that the offer was here, in microseconds.
+        held_us: u64,
     },
     /// An offered call runs at an own target.
     CallRun {
@@ -331,6 +335,57 @@
         /// How.
         failure: CallFailure,
     },
+    /// What the calls of a route used here in a second in which not all of them ended well.
+    RouteUsage {
+        /// The route.
+        route: ids::EntryName,
+        /// Its use.
+        #[serde(flatten)]
+        usage: RouteUsage,
+    },
+}
+
+/// What calls of one route used at one process: the first fields as their callers' node, those from `offers`
+/// on as the node of their targets. Sums of times are in milliseconds.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouteUsage {
+    /// Calls whose callers got a target's answer.
+    pub answered: u64,
+    /// Calls that were refused.
+    pub refused: u64,
+    /// Time from the arrival of the refused ones to their refusals.
+    pub refused_ms: u64,
+    /// Offers to targets.
+    pub tries: u64,
+    /// Those that the targets' nodes gave back.
+    pub given_back: u64,
+    /// Time from these offers until this node knew.
+    pub given_back_ms: u64,
+    /// Offers that came.
+    pub offers: u64,
+    /// Those that were given back.
+    pub declined: u64,
+    /// Time that these were here.
+    pub declined_ms: u64,
+    /// Runs that ended well within the target latency.
+    pub in_time: u64,
+    /// Their slot time.
+    pub in_time_ms: u64,
+    /// Runs that ended well later.
+    pub late: u64,
+    /// Their slot time.
+    pub late_ms: u64,
+    /// Runs that came to nothing.
+    pub failed: u64,
+    /// Their slot time.
+    pub failed_ms: u64,
+}
+
+impl RouteUsage {
+    /// Whether calls were refused or runs came to nothing.
+    pub fn is_trouble(&self) -> bool {
+        self.refused + self.declined + self.failed > 0
+    }
 }
 
 impl TimelineEvent {
@@ -351,6 +406,11 @@
         }
     }
 
+    /// Whether it tells of calls: those are kept apart from what happens to the configuration.
+    pub fn is_of_calls(&self) -> bool {
+        self.request().is_some() || matches!(self, Self::RouteUsage { .. })
+    }
+
     /// Whether an operator should look at it.
     pub fn is_trouble(&self) -> bool {
         matches!(
--- a/tests/all/seeing.rs
+++ b/tests/all/seeing.rs
@@ -2,6 +2,7 @@
 
 use std::process::Command;
 
+use hazeltiller_standin::behaviour;
 use hazeltiller_testkit::{fleet, wait};
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
@@ -132,6 +133,10 @@
             "node-2",
             "hazeltiller_runs_total{result=\"done\",service=\"registru\"} 1",
         ),
+        (
+            "node-2",
+            "hazeltiller_slot_microseconds_total{class=\"counter\",result=\"in_time\",service=\"registru\"} ",
+        ),
         (
             "node-2",
             "hazeltiller_slots{target=\"registru-sibiu-1\"} 10",
@@ -200,6 +205,33 @@
     );
 }
 
+/// Runs that come to nothing stand in the sums of their route, at the node of their target.
+#[tokio::test(flavor = "multi_thread")]
+async fn slots_accounted() {
+    let mut fleet = started_fleet().await;
+    let target = support::stand_in(&mut fleet, "node-2", "registru-sibiu-1").await;
+    target.behave(behaviour::StandInBehaviour {
+        answer: behaviour::AnswerForm::Failing,
+        ..behaviour::StandInBehaviour::default()
+    });
+    wait::until("a failed run", || async {
+        let request = Request::get("/vehicles/7").body(Full::default()).ok()?;
+        let response = fleet.ask("node-1", "callers", request).await?;
+        (response.status() == StatusCode::INTERNAL_SERVER_ERROR).then_some(())
+    })
+    .await;
+    let line = wait::until("the sums of its second", || async {
+        let log = fleet.log("node-2");
+        let line = log.lines().find(|line| line.contains("route_usage"))?;
+        Some(line.to_owned())
+    })
+    .await;
+    let line: Value = serde_json::from_str(&line).expect("a line is an object");
+    assert_eq!(line["route"], "lookup", "{line}");
+    assert!(line["failed"].as_u64() >= Some(1), "{line}");
+    assert_eq!((&line["in_time"], &line["late"]), (&0.into(), &0.into()));
+}
+
 /// A line longer than what a pipe takes at once is left out and its place marked; no line is cut.
 #[tokio::test(flavor = "multi_thread")]
 async fn lines_bounded() {
