Known red: a surge on nodes with little processor time outlasts its load

The model of reducers gets processors: messages wait for one another at each node. Every call is offered twice and more, half of the refused wait for over a second.

A run of the model may make its calls at its end, as slots are held longest then.

--- a/crates/engine/tests/overload.rs
+++ b/crates/engine/tests/overload.rs
@@ -38,14 +38,18 @@
 }
 
 /// What callers send a second when the targets are about nine tenths loaded, times `load`.
-fn kinds(load: f64) -> Vec<model::CallKind> {
+fn kinds(load: f64, moment: model::CallMoment) -> Vec<model::CallKind> {
     let habit = model::CallerHabit {
         returns: 2,
         patience: Some(Duration::from_secs(4)),
     };
     let lookups = model::CallKind {
         habit,
-        inner: Some(model::InnerCalls { kind: 2, count: 2 }),
+        inner: Some(model::InnerCalls {
+            kind: 2,
+            count: 2,
+            moment,
+        }),
         ..model::CallKind::plain("/lookup/7", 105.0 * load)
     };
     let issues = model::CallKind {
@@ -91,6 +95,7 @@
 impl Surge {
     /// Load rises to one and a half times what can be served for five seconds and falls back.
     fn play(seed: u64) -> Self {
+        let kinds = |load| kinds(load, model::CallMoment::First);
         let phases = vec![
             (kinds(1.0), CALM),
             (kinds(1.6), SURGE),
@@ -152,3 +157,93 @@
         assert!(surge.wasted * 2 <= surge.runs, "{}", played.figures());
     }
 }
+
+/// Time that a node of a tenth of a core takes for a message.
+const MESSAGE_TIME: Duration = Duration::from_millis(4);
+/// Longest time to a refusal that leaves a caller most of its time.
+const REFUSAL_TIME: Duration = Duration::from_millis(75);
+
+/// The same surge, for longer, on nodes with little processor time, by runs that call others at their end.
+struct NarrowSurge {
+    seed: u64,
+    before: Vec<model::KindCount>,
+    surge: Vec<model::KindCount>,
+    after: Vec<model::KindCount>,
+}
+
+impl NarrowSurge {
+    fn play(seed: u64) -> Self {
+        let kinds = |load| kinds(load, model::CallMoment::Last);
+        let phases = vec![
+            (kinds(1.0), CALM),
+            (kinds(1.6), CALM),
+            (kinds(1.0), SURGE),
+            (kinds(1.0), CALM),
+        ];
+        let mut model = model(seed).with_processors(MESSAGE_TIME);
+        let mut counts = model.run_phases(phases).into_iter();
+        let mut next = || counts.next().expect("four phases were played");
+        let (before, surge, _return, after) = (next(), next(), next(), next());
+        let played = Self {
+            seed,
+            before,
+            surge,
+            after,
+        };
+        println!("{}", played.figures());
+        played
+    }
+
+    /// Offers in the surge for each call that came to an ingress node.
+    fn offers_per_call(&self) -> f64 {
+        let sum = |part: fn(&model::KindCount) -> u64| self.surge.iter().map(part).sum::<u64>();
+        sum(|count| count.tries) as f64 / sum(|count| count.arrivals) as f64
+    }
+
+    fn refusal_time(&self) -> Duration {
+        Duration::from_micros(self.surge[0].refusal_quantile(0.5))
+    }
+
+    fn figures(&self) -> String {
+        let [before, surge, after] = [&self.before, &self.surge, &self.after]
+            .map(|counts| format!("{:.3} {:.3}", in_time(&counts[0]), in_time(&counts[1])));
+        format!(
+            "seed {}, narrow nodes: lookups and issues in time {before}, {surge}, {after}; in the surge {:.2} \
+             offers a call, refused after {:?}, {:.3} of slot time wasted",
+            self.seed,
+            self.offers_per_call(),
+            self.refusal_time(),
+            self.surge[0].wasted_share(),
+        )
+    }
+}
+
+/// A surge on narrow nodes for each seed.
+static NARROW_SURGES: LazyLock<Vec<NarrowSurge>> =
+    LazyLock::new(|| (1..=3).map(NarrowSurge::play).collect());
+
+#[test]
+fn overload_not_sustained() {
+    for played in &*NARROW_SURGES {
+        let (before, after) = (in_time(&played.before[0]), in_time(&played.after[0]));
+        assert!(after >= 0.9 * before, "{}", played.figures());
+    }
+}
+
+#[test]
+fn offers_not_multiplied() {
+    for played in &*NARROW_SURGES {
+        assert!(played.offers_per_call() <= 1.5, "{}", played.figures());
+    }
+}
+
+#[test]
+fn refusals_not_slow() {
+    for played in &*NARROW_SURGES {
+        assert!(
+            played.refusal_time() <= REFUSAL_TIME,
+            "{}",
+            played.figures()
+        );
+    }
+}
--- a/crates/testkit/src/model.rs
+++ b/crates/testkit/src/model.rs
@@ -75,13 +75,24 @@
     pub patience: Option<Duration>,
 }
 
-/// Calls that a run makes, all at once when it begins.
+/// Calls that a run makes, all at once.
 #[derive(Debug, Clone, Copy)]
 pub struct InnerCalls {
     /// Place of their kind.
     pub kind: usize,
     /// How many.
     pub count: u32,
+    /// When the run makes them.
+    pub moment: CallMoment,
+}
+
+/// When a run makes its calls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallMoment {
+    /// When it begins, beside its own work.
+    First,
+    /// When its own work is done.
+    Last,
 }
 
 /// What a model is made of.
@@ -108,8 +119,16 @@
     pub sent: u64,
     /// Offered to targets' nodes.
     pub tries: u64,
+    /// Handed to ingress nodes, by callers and again by those that came back.
+    pub arrivals: u64,
+    /// Times from an arrival to its refusal, in microseconds.
+    pub refusals: Vec<u64>,
     /// Started at targets.
     pub runs: u64,
+    /// Slot time of all runs.
+    pub slot_time: Duration,
+    /// Slot time of the runs that came to nothing.
+    pub wasted_time: Duration,
     /// Runs that came to nothing because a call of theirs did.
     pub wasted: u64,
     /// Answered well and in time.
@@ -127,10 +146,24 @@
 
     /// The time that this share of the good ones stayed under, in microseconds.
     pub fn quantile(&self, share: f64) -> u64 {
-        let mut sorted = self.latencies.clone();
-        sorted.sort_unstable();
-        let place = (sorted.len() as f64 * share) as usize;
-        let last = sorted.len().saturating_sub(1);
-        sorted.get(place.min(last)).copied().unwrap_or(0)
+        quantile(&self.latencies, share)
+    }
+
+    /// The time that this share of the refused ones was held for at most, in microseconds.
+    pub fn refusal_quantile(&self, share: f64) -> u64 {
+        quantile(&self.refusals, share)
     }
+
+    /// Share of the slot time that went to runs that came to nothing.
+    pub fn wasted_share(&self) -> f64 {
+        self.wasted_time.as_secs_f64() / self.slot_time.as_secs_f64().max(f64::EPSILON)
+    }
+}
+
+fn quantile(times: &[u64], share: f64) -> u64 {
+    let mut sorted = times.to_vec();
+    sorted.sort_unstable();
+    let place = (sorted.len() as f64 * share) as usize;
+    let last = sorted.len().saturating_sub(1);
+    sorted.get(place.min(last)).copied().unwrap_or(0)
 }
--- a/crates/testkit/src/model/run.rs
+++ b/crates/testkit/src/model/run.rs
@@ -17,6 +17,7 @@
 
 mod callers;
 mod owners;
+mod processor;
 
 const TICK: Duration = Duration::from_millis(20);
 const DATA_CENTRE: &str = "brasov-a";
@@ -29,6 +30,8 @@
     Arrive(usize, usize),
     /// Another send of a caller.
     Return(u64),
+    /// A call has come up at its ingress node.
+    Reach(u64),
     Offer(u64),
     RunOver(u64),
     Answer(u64),
@@ -42,6 +45,8 @@
     target: usize,
     offer: wire::CallOffer,
     due: time::MonotonicTime,
+    /// When it got a slot.
+    started: time::MonotonicTime,
     result: Option<(calls::AttemptResult, Option<wire::LoadReport>)>,
     /// Calls of its run that have not ended, and whether its own work has.
     inner_left: u32,
@@ -57,6 +62,8 @@
     ingress: usize,
     /// When its caller first sent it.
     began: time::MonotonicTime,
+    /// When it came to its ingress node, this time.
+    arrived: time::MonotonicTime,
     returns_left: u32,
     /// The run that makes it.
     parent: Option<u64>,
@@ -92,6 +99,7 @@
     tries: IndexMap<u64, ModelTry>,
     turns: Vec<usize>,
     own: Vec<Vec<u32>>,
+    processors: processor::NodeProcessors,
 }
 
 impl CallModel {
@@ -145,9 +153,18 @@
             sequence: 0,
             calls: IndexMap::new(),
             tries: IndexMap::new(),
+            processors: processor::NodeProcessors::default(),
         }
     }
 
+    /// Has every node take this long for each message that it handles, one after another.
+    #[must_use]
+    pub fn with_processors(mut self, message_time: Duration) -> Self {
+        let nodes = self.ingresses.len() + self.targets.len();
+        self.processors = processor::NodeProcessors::new(message_time, nodes);
+        self
+    }
+
     /// Changes every ingress node, say a tunable.
     #[must_use]
     pub fn with_ingresses(mut self, change: impl Fn(&mut node::NodeReducer)) -> Self {
@@ -194,6 +211,7 @@
             Happening::Phase(phase) => self.begin_phase(phase),
             Happening::Arrive(phase, kind) => self.arrive(phase, kind),
             Happening::Return(call) => self.come_back(call),
+            Happening::Reach(call) => self.reach_ingress(call),
             Happening::Offer(number) => self.offer(number),
             Happening::RunOver(number) => self.end_work(number),
             Happening::Answer(number) => self.answer(number),
@@ -237,6 +255,19 @@
         self.agenda.push(Reverse(entry));
     }
 
+    /// Plans a message that reaches an ingress node after a time.
+    fn plan_at_ingress(&mut self, ingress: usize, after: Duration, happening: Happening) {
+        let done = self.processors.take(ingress, self.now + after);
+        self.plan(done.since(self.now), happening);
+    }
+
+    /// The same for the node of a target.
+    fn plan_at_owner(&mut self, target: usize, after: Duration, happening: Happening) {
+        let node = self.ingresses.len() + target;
+        let done = self.processors.take(node, self.now + after);
+        self.plan(done.since(self.now), happening);
+    }
+
     fn exponential(&mut self, mean: f64) -> Duration {
         let share: f64 = self.random.random();
         Duration::from_secs_f64(-(1.0 - share).ln() * mean)
--- a/crates/testkit/src/model/run/callers.rs
+++ b/crates/testkit/src/model/run/callers.rs
@@ -26,6 +26,7 @@
             kind,
             ingress,
             began: self.now,
+            arrived: self.now,
             returns_left: self.kind(kind).habit.returns,
             parent: None,
         };
@@ -39,19 +40,45 @@
     }
 
     /// Hands a call to its ingress node.
-    pub(super) fn send(&mut self, call: ModelCall) {
+    pub(super) fn send(&mut self, mut call: ModelCall) {
+        call.arrived = self.now;
         self.sequence += 1;
         let number = self.sequence;
+        let ingress = call.ingress;
+        self.counts[call.phase][call.kind].arrivals += 1;
+        self.calls.insert(number, call);
+        if self.processors.is_charged() {
+            self.plan_at_ingress(ingress, Duration::ZERO, Happening::Reach(number));
+        } else {
+            self.reach_ingress(number);
+        }
+    }
+
+    pub(super) fn reach_ingress(&mut self, number: u64) {
+        let Some(call) = self.calls.get(&number) else {
+            return;
+        };
         let kind = self.kind(call.kind);
         let left = |patience: Duration| patience.saturating_sub(self.now.since(call.began));
         let arrival = calls::CallArrival {
             deadline_left: kind.habit.patience.map(left),
+            caller: Some(self.caller_service(call)),
             ..node::arrival(number, kind.path)
         };
-        self.calls.insert(number, call);
         self.ask_ingress(number, calls::CallEvent::Arrived(arrival));
     }
 
+    /// Service beside whose target a call begins: the one that its run is at, or for callers' own requests
+    /// that of any node.
+    fn caller_service(&self, call: &ModelCall) -> ids::EntryName {
+        let target = match call.parent.and_then(|parent| self.tries.get(&parent)) {
+            Some(run) => run.target,
+            None => call.ingress % self.targets.len(),
+        };
+        let name = self.targets[target].settings.service_name;
+        name.parse().expect("it is a name")
+    }
+
     /// A caller without a good answer comes back, if it still does.
     pub(super) fn send_again(&mut self, mut call: ModelCall, room_in: Duration) {
         let Some(patience) = self.kind(call.kind).habit.patience else {
@@ -79,6 +106,8 @@
                 calls::CallEffect::Pass(_) => {}
                 calls::CallEffect::Refuse(_, refusal) => {
                     let room_in = Duration::from_millis(u64::from(refusal.retry_after_ms));
+                    let held = self.now.since(self.calls[&call].arrived);
+                    self.count(call).refusals.push(held.as_micros() as u64);
                     self.finish(call, Err(room_in));
                 }
                 calls::CallEffect::Run(..) | calls::CallEffect::Replay(..) => {
@@ -102,13 +131,14 @@
             target,
             offer,
             due: self.now + left,
+            started: self.now,
             result: None,
             inner_left: 0,
             is_work_done: false,
             has_failed: false,
         };
         self.tries.insert(number, record);
-        self.plan(self.settings.link, Happening::Offer(number));
+        self.plan_at_owner(target, self.settings.link, Happening::Offer(number));
     }
 
     pub(super) fn choose(&mut self, ingress: usize, candidate: &routing::TargetCandidate) -> usize {
--- a/crates/testkit/src/model/run/owners.rs
+++ b/crates/testkit/src/model/run/owners.rs
@@ -7,6 +7,7 @@
 use hazeltiller_wire::calls as wire;
 
 use super::{CallModel, Happening, ModelCall, TICK};
+use crate::model;
 
 /// Status of a call that a target's own bounded queue refused.
 const REFUSED_STATUS: u16 = 429;
@@ -63,15 +64,26 @@
     }
 
     pub(super) fn serve(&mut self, number: u64) {
-        let record = &self.tries[&number];
+        let record = &mut self.tries[&number];
+        record.started = self.now;
         let (call, target, due) = (record.call, record.target, record.due);
         let unit = self.targets[target].settings.service.as_secs_f64();
         let mean = unit * f64::from(record.offer.cost);
         self.count(call).runs += 1;
         let took = self.exponential(mean).min(due.since(self.now));
         self.plan(took, Happening::RunOver(number));
-        let phase = self.calls[&call].phase;
-        let Some(inner) = self.kind(self.calls[&call].kind).inner else {
+        let inner = self.kind(self.calls[&call].kind).inner;
+        if inner.is_some_and(|inner| inner.moment == model::CallMoment::First) {
+            self.call_inner(number);
+        }
+    }
+
+    /// Makes the calls of a run.
+    fn call_inner(&mut self, number: u64) {
+        let record = &self.tries[&number];
+        let (target, call) = (record.target, &self.calls[&record.call]);
+        let phase = call.phase;
+        let Some(inner) = self.kind(call.kind).inner else {
             return;
         };
         self.tries[&number].inner_left = inner.count;
@@ -81,6 +93,7 @@
                 kind: inner.kind,
                 ingress: target % self.ingresses.len(),
                 began: self.now,
+                arrived: self.now,
                 returns_left: 0,
                 parent: Some(number),
             };
@@ -90,10 +103,16 @@
     }
 
     pub(super) fn end_work(&mut self, number: u64) {
-        if let Some(record) = self.tries.get_mut(&number) {
-            record.is_work_done = true;
-            self.end_run_if_done(number);
+        let Some(record) = self.tries.get_mut(&number) else {
+            return;
+        };
+        record.is_work_done = true;
+        let call = record.call;
+        let inner = self.kind(self.calls[&call].kind).inner;
+        if inner.is_some_and(|inner| inner.moment == model::CallMoment::Last) {
+            self.call_inner(number);
         }
+        self.end_run_if_done(number);
     }
 
     /// Takes the end of a call that a run made.
@@ -113,8 +132,13 @@
             return;
         }
         let (target, call) = (record.target, record.call);
-        let result = if record.has_failed {
-            self.count(call).wasted += 1;
+        let (took, has_failed) = (self.now.since(record.started), record.has_failed);
+        self.count(call).slot_time += took;
+        let record = &self.tries[&number];
+        let result = if has_failed {
+            let count = self.count(call);
+            count.wasted += 1;
+            count.wasted_time += took;
             let status = FAILED_STATUS;
             calls::RunResult::Done { status }
         } else if self.now < record.due {
@@ -154,8 +178,10 @@
         result: calls::AttemptResult,
         load: Option<wire::LoadReport>,
     ) {
-        self.tries[&number].result = Some((result, load));
-        self.plan(self.settings.link, Happening::Answer(number));
+        let record = &mut self.tries[&number];
+        record.result = Some((result, load));
+        let ingress = self.calls[&record.call].ingress;
+        self.plan_at_ingress(ingress, self.settings.link, Happening::Answer(number));
     }
 
     pub(super) fn tick(&mut self) {
