The search for a target with room is paid for by calls that found one

Cause: a call that finds no room goes on to three further targets at no cost to anybody but the nodes. In a shortage that is nearly every call, so offers grow to 3.6 a call, each works two nodes of a tenth of a core, messages wait for one another, calls reach targets late, are given back, and are offered again: the load keeps itself up. A good answer now pays for a fifth of a further offer, at most ten are saved up by service and class; the same arithmetic as for second tries, so both budgets are one type.

--- a/crates/engine/src/calls/ingress.rs
+++ b/crates/engine/src/calls/ingress.rs
@@ -262,6 +262,10 @@
     if !question.is_allowed() {
         return false;
     }
+    let is_search = question.is_placement && proof == retry::FailureProof::NotOffered;
+    if is_search && !state.retry.placements(&terms, tunables).spend() {
+        return false;
+    }
     let is_paid = proof.is_paid() && !question.is_placement;
     if is_paid && !state.retry.budget(&terms, tunables).spend() {
         return false;
@@ -316,7 +320,8 @@
 fn earn(state: &mut reducer::EngineState, terms: &terms::CallTerms, result: &calls::AttemptResult) {
     if retry::is_good(result) {
         let tunables = &state.settings.tunables.retry;
-        state.retry.budget(terms, tunables).earn(tunables);
+        state.retry.budget(terms, tunables).earn();
+        state.retry.placements(terms, tunables).earn();
     }
 }
 
--- a/crates/engine/src/retry.rs
+++ b/crates/engine/src/retry.rs
@@ -3,7 +3,8 @@
 //! A second try is made only where it can do no harm: the call may run more than once, or it is
 //! proven not to have run. It is paid for by good first answers of the same service and class, so a service
 //! that fails altogether is sent hardly more than its callers sent. A call that is a second try
-//! already, anywhere along its way, gets no more for runs that failed: hops do not multiply.
+//! already, anywhere along its way, gets no more for runs that failed: hops do not multiply. The search for a
+//! target that has room is paid for in the same way, by calls that found one: a shortage does not multiply offers.
 
 use std::time::Duration;
 
@@ -23,28 +24,58 @@
     matches!(result, calls::AttemptResult::Answered { status } if *status < FAILED_STATUS)
 }
 
-/// Second tries that a service's good answers have paid for.
+/// What earns further tries, and how many may be made at once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BudgetTerms {
+    /// Earned by each good try, in hundredths of a further one.
+    pub percent: u64,
+    /// Most that are saved up; there before any was earned.
+    pub reserve: u64,
+}
+
+impl BudgetTerms {
+    /// Terms of second tries, which may run a call again.
+    pub fn of_retries(tunables: &settings::RetryTunables) -> Self {
+        Self {
+            percent: tunables.budget_percent,
+            reserve: tunables.budget_reserve,
+        }
+    }
+
+    /// Terms of further offers to nodes that may have room. Each costs the processors of two nodes, so
+    /// without a bound the nodes have the most to do when all targets are full, and answers come too late.
+    pub fn of_placements(tunables: &settings::RetryTunables) -> Self {
+        Self {
+            percent: tunables.placement_percent,
+            reserve: tunables.placement_reserve,
+        }
+    }
+}
+
+/// Further tries that good ones have paid for.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryBudget {
+    terms: BudgetTerms,
     /// In hundredths of a try.
     percent: u64,
 }
 
 impl RetryBudget {
-    /// The budget of a service before any answer.
-    pub fn new(tunables: &settings::RetryTunables) -> Self {
+    /// The budget before any try.
+    pub fn new(terms: BudgetTerms) -> Self {
         Self {
-            percent: tunables.budget_reserve * 100,
+            terms,
+            percent: terms.reserve * 100,
         }
     }
 
-    /// Takes a good answer to a first try.
-    pub fn earn(&mut self, tunables: &settings::RetryTunables) {
-        let most = tunables.budget_reserve * 100;
-        self.percent = (self.percent + tunables.budget_percent).min(most);
+    /// Takes a good try.
+    pub fn earn(&mut self) {
+        let most = self.terms.reserve * 100;
+        self.percent = (self.percent + self.terms.percent).min(most);
     }
 
-    /// Second tries that it pays for now.
+    /// Further tries that it pays for now.
     pub fn tries(&self) -> u64 {
         self.percent / 100
     }
@@ -54,7 +85,7 @@
         self.percent += 100;
     }
 
-    /// Pays for a second try, if there is enough.
+    /// Pays for a further try, if there is enough.
     pub fn spend(&mut self) -> bool {
         let is_enough = self.percent >= 100;
         if is_enough {
@@ -64,15 +95,18 @@
     }
 }
 
+/// Budgets by service and class, so that refusals of one class spend nothing of another's.
+type BudgetTable = IndexMap<(ids::EntryName, ids::EntryName), RetryBudget>;
+
 /// State of retries.
 #[derive(Debug, Clone, Default)]
 pub struct RetryState {
-    /// By service and class, so that refusals of one class spend nothing of another's.
-    budgets: IndexMap<(ids::EntryName, ids::EntryName), RetryBudget>,
+    budgets: BudgetTable,
+    placements: BudgetTable,
 }
 
 impl RetryState {
-    /// Every budget with its service and class.
+    /// Every budget of second tries with its service and class.
     pub fn budgets(
         &self,
     ) -> impl Iterator<Item = (&ids::EntryName, &ids::EntryName, &RetryBudget)> {
@@ -81,15 +115,28 @@
             .map(|((service, class), budget)| (service, class, budget))
     }
 
-    /// The budget of a call's service and class.
+    /// The budget of second tries of a call's service and class.
     pub fn budget(
         &mut self,
         terms: &calls::terms::CallTerms,
         tunables: &settings::RetryTunables,
     ) -> &mut RetryBudget {
-        self.budgets
-            .entry((terms.service.clone(), terms.class.clone()))
-            .or_insert_with(|| RetryBudget::new(tunables))
+        let key = (terms.service.clone(), terms.class.clone());
+        let terms = BudgetTerms::of_retries(tunables);
+        let budget = self.budgets.entry(key);
+        budget.or_insert_with(|| RetryBudget::new(terms))
+    }
+
+    /// The budget of further offers of a call's service and class.
+    pub fn placements(
+        &mut self,
+        terms: &calls::terms::CallTerms,
+        tunables: &settings::RetryTunables,
+    ) -> &mut RetryBudget {
+        let key = (terms.service.clone(), terms.class.clone());
+        let terms = BudgetTerms::of_placements(tunables);
+        let budget = self.placements.entry(key);
+        budget.or_insert_with(|| RetryBudget::new(terms))
     }
 }
 
@@ -147,8 +194,8 @@
         }
     }
 
-    /// Times that the search for a place may go on at no cost: another node gave the call back before
-    /// a target was offered it, so that trying elsewhere is no repetition.
+    /// Times that the search for a place may go on beyond the route's tries: another node gave the call back
+    /// before a target was offered it, so that trying elsewhere is no repetition.
     pub fn placements(self, tunables: &settings::RetryTunables) -> u64 {
         match self {
             Self::NotTaken => tunables.free_placements.max(tunables.leaving_placements),
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -260,10 +260,15 @@
         budget_percent = 10, 0..=100;
         /// Second tries of a service that a node may make at once, before any answer paid for them.
         budget_reserve = 3, 0..=1000;
-        /// Times that a call goes on to another target, beyond the route's tries and without
-        /// budget, after nodes that had no room for it before their target was offered it.
+        /// Times that a call goes on to another target, beyond the route's tries, after nodes that had
+        /// no room for it before their target was offered it.
         free_placements = 0, 0..=16;
-        /// The same after nodes that were not reached, or that said that they or their target leave:
+        /// Such further offers that each call of the same service and class with a good answer pays for, in
+        /// percent of one.
+        placement_percent = 20, 0..=1000;
+        /// Such further offers of a service and class that a node may make at once, before any was paid for.
+        placement_reserve = 10, 0..=1000;
+        /// Times that a call goes on to another target after nodes that were not reached, or that said that they or their target leave:
         /// a stop of two neighbours is no reason to refuse a call.
         leaving_placements = 2, 0..=16;
     }
