Targets are compared by run times of the call's route, and calls without room are refused where they come in

A third of the lookups' runs still came to nothing, since calls of theirs were given back by four of the 19 targets of the bookings' service while others gave back none; and three offers of four at the lookups' service still worked two nodes to learn what the one before had learnt.

Causes: a report tells the mean time of all runs of a target. One that runs many short calls of lookups looks fast for bookings too, gets them as well, and neither finds room. Reports now tell the time of the call's own route besides (route_us), and choices use that; the mean goes on telling how soon slots free. And a node knew nothing of what became of its latest offers: it now offers twice as many calls of a route as found room in the last half second, and a fifth of all at the least, and refuses the others at once with HZ3023 and the time that targets told lately. Calls whose target latency is over are refused first.

--- a/crates/daemon/src/gauges.rs
+++ b/crates/daemon/src/gauges.rs
@@ -27,7 +27,7 @@
     metrics.slots.reset();
     for name in state.membership.targets.keys() {
         let labels = [name.as_str()];
-        let report = admission::report(state, name);
+        let report = admission::load(state, name);
         let running = metrics.running.with_label_values(&labels);
         running.set(i64::from(report.in_flight));
         let queued = metrics.queued.with_label_values(&labels);
--- a/crates/engine/src/admission.rs
+++ b/crates/engine/src/admission.rs
@@ -263,14 +263,27 @@
     refuse_capacity(state, offer, limit)
 }
 
-/// What is reported of an own target with each answer.
-pub fn report(state: &reducer::EngineState, target: &ids::TargetName) -> wire::LoadReport {
+/// What is reported of an own target with the answer to a call.
+pub fn report(state: &reducer::EngineState, offer: &wire::CallOffer) -> wire::LoadReport {
+    let admission = state.admission.targets.get(&offer.target);
+    let run = admission.map_or(Duration::ZERO, |admission| {
+        admission.pace.run_time(&offer.route, offer.cost)
+    });
+    wire::LoadReport {
+        route_us: u32::try_from(run.as_micros()).unwrap_or(u32::MAX),
+        ..load(state, &offer.target)
+    }
+}
+
+/// Load of an own target, of no route.
+pub fn load(state: &reducer::EngineState, target: &ids::TargetName) -> wire::LoadReport {
     let admission = state.admission.targets.get(target);
     wire::LoadReport {
         in_flight: admission.map_or(0, |admission| admission.running),
         queued: admission.map_or(0, queued_runs),
         slots: slots(state, target),
         service_us: admission.map_or(0, |admission| admission.pace.service_us()),
+        route_us: 0,
         is_failing: health::is_failing(state, target),
     }
 }
@@ -542,7 +555,7 @@
     refusal: wire::CallRefusal,
 ) -> wire::CallRefusal {
     wire::CallRefusal {
-        load: Some(report(state, &offer.target)),
+        load: Some(report(state, offer)),
         ..refusal
     }
 }
--- a/crates/engine/src/calls.rs
+++ b/crates/engine/src/calls.rs
@@ -15,6 +15,7 @@
 mod ingress;
 mod owner;
 pub mod terms;
+pub mod throttle;
 pub mod transit;
 pub mod usual;
 
@@ -221,6 +222,8 @@
     pub owner: IndexMap<ids::CallId, OwnerCall>,
     /// How long callers usually wait.
     pub usual: usual::UsualTimes,
+    /// Which calls are refused without an offer.
+    pub throttles: throttle::ThrottleTable,
 }
 
 /// Takes the passing of time.
--- a/crates/engine/src/calls/ingress.rs
+++ b/crates/engine/src/calls/ingress.rs
@@ -90,12 +90,48 @@
     call: ids::CallId,
     output: &mut event::ReducerOutput,
 ) {
+    if is_throttled(state, call) {
+        return refuse_throttled(state, call, output);
+    }
     if !attempt(state, call, false, output) {
         let refusal = wire::CallRefusal::not_run(code::ResultCode::TargetMissing);
         refuse_missing(state, call, refusal, output);
     }
 }
 
+/// Whether a call is refused without an offer, since most of the latest ones found no room.
+fn is_throttled(state: &mut reducer::EngineState, call: ids::CallId) -> bool {
+    let Some(record) = state.calls.ingress.get(&call) else {
+        return false;
+    };
+    let (service, route) = (&record.terms.service, &record.terms.route);
+    let throttles = &mut state.calls.throttles;
+    let share = throttles.refused_share(service, route, state.now);
+    let is_overdue = record.latency_until <= state.now;
+    // Those that come back too late say nothing of how many could be served in time.
+    if is_overdue && share > 0.0 {
+        return true;
+    }
+    let is_refused = state.random.random_bool(share);
+    throttles.note(service, route, !is_refused);
+    is_refused
+}
+
+fn refuse_throttled(
+    state: &mut reducer::EngineState,
+    call: ids::CallId,
+    output: &mut event::ReducerOutput,
+) {
+    let mut refusal = wire::CallRefusal::not_run(code::ResultCode::ServiceSaturated);
+    if let Some(record) = state.calls.ingress.get(&call) {
+        let (service, route) = (&record.terms.service, &record.terms.route);
+        let room_in = state.calls.throttles.room_in(service, route);
+        refusal.retry_after_ms = (room_in.as_millis() as u32).max(1);
+    }
+    refusal.retry_after_ms = spread(state, refusal.retry_after_ms);
+    output.refuse(call, refusal);
+}
+
 /// Refuses a call that no target could be offered, saying when one may be there: when the first of those
 /// that could not be reached is tried again.
 fn refuse_missing(
@@ -202,7 +238,7 @@
         state.routing.offer_cost.note(took);
     }
     if let Some(target) = target {
-        learn(state, &terms.service, &target, &result, report.load);
+        learn(state, &terms, &target, &result, report.load);
     }
     if report.bytes > 0 {
         state.routing.sizes.note(&terms.route, report.bytes);
@@ -223,6 +259,11 @@
     if refusal.code == code::ResultCode::TargetMissing {
         return refuse_missing(state, call, refusal, output);
     }
+    if proof == retry::FailureProof::NotOffered {
+        let room_in = Duration::from_millis(u64::from(refusal.retry_after_ms));
+        let throttles = &mut state.calls.throttles;
+        throttles.note_no_room(&terms.service, &terms.route, room_in);
+    }
     refusal.retry_after_ms = spread(state, refusal.retry_after_ms);
     output.refuse(call, refusal);
 }
@@ -256,7 +297,7 @@
         is_placement: u64::from(record.placements) < proof.placements(tunables),
         arrived_attempt: record.arrived_attempt,
         left: record.deadline.since(now),
-        service_time: view.map_or(Duration::ZERO, routing::TargetView::service_time),
+        service_time: view.map_or(Duration::ZERO, |view| view.run_time(&record.terms.route)),
     };
     let terms = record.terms.clone();
     if !question.is_allowed() {
@@ -283,7 +324,7 @@
 /// Takes what the end of a try says of the target.
 fn learn(
     state: &mut reducer::EngineState,
-    service: &ids::EntryName,
+    terms: &terms::CallTerms,
     target: &ids::TargetName,
     result: &calls::AttemptResult,
     load: Option<wire::LoadReport>,
@@ -296,7 +337,8 @@
         _ => load,
     };
     if let Some(load) = load {
-        state.routing.take_report(service, target, load, now);
+        let routing = &mut state.routing;
+        routing.take_report(&terms.service, &terms.route, target, load, now);
     }
     let Some(view) = state.routing.views.get_mut(target) else {
         return;
--- a/crates/engine/src/calls/owner.rs
+++ b/crates/engine/src/calls/owner.rs
@@ -121,11 +121,12 @@
     let Some(own) = state.membership.targets.get(&target) else {
         return calls::refuse(call, code::ResultCode::TargetMissing, output);
     };
+    let load = admission::report(state, &state.calls.owner[&call].offer);
     let plan = calls::RunPlan {
         address: own.record.address,
         first_byte: Duration::from_millis(u64::from(first_byte_ms)).min(deadline.since(now)),
         deadline,
-        load: admission::report(state, &target),
+        load,
         target,
     };
     output
--- /dev/null
+++ b/crates/engine/src/calls/throttle.rs
@@ -0,0 +1,114 @@
+//! Calls that are refused where they come in, since no target has had room for most of the latest ones.
+//!
+//! An offer that is given back costs two nodes their processors and the caller its time. While more comes than
+//! targets take, this node offers only somewhat more than they took lately, which is enough to see when they
+//! take more again, and refuses the rest at once. What it learns is of one route to one service: routes of a
+//! service are not refused alike.
+
+use std::time::Duration;
+
+use hazeltiller_units::{ids, time};
+use indexmap::IndexMap;
+
+/// Time over which what was seen fades.
+const MEMORY: Duration = Duration::from_millis(500);
+/// Calls that are offered for each one that found room.
+const OFFERS_PER_ROOM: f64 = 2.0;
+/// Largest share of calls that are refused: the others show when there is room again.
+const LARGEST_SHARE: f64 = 0.8;
+/// Calls within the memory below which nothing is concluded.
+const FEWEST_CALLS: f64 = 8.0;
+/// Part of what a target says anew in the time after which callers may come back.
+const SMOOTHING: f64 = 0.1;
+/// Routes that are remembered; the one that was seen first is forgotten first.
+const MOST_ROUTES: usize = 512;
+
+/// What became of the latest calls of a route, fading.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct RouteThrottle {
+    /// Calls that came.
+    asked: f64,
+    /// Those of them that were offered.
+    offered: f64,
+    /// Those of them that found no room.
+    without_room: f64,
+    at: time::MonotonicTime,
+    /// When targets said that there would be room, smoothed.
+    room_in: Duration,
+}
+
+impl RouteThrottle {
+    /// The share of calls that are to be refused now.
+    fn refused_share(&mut self, now: time::MonotonicTime) -> f64 {
+        self.fade(now);
+        if self.asked < FEWEST_CALLS {
+            return 0.0;
+        }
+        let most = OFFERS_PER_ROOM * self.with_room();
+        (1.0 - most / self.asked).clamp(0.0, LARGEST_SHARE)
+    }
+
+    fn with_room(&self) -> f64 {
+        (self.offered - self.without_room).max(0.0)
+    }
+
+    fn note_no_room(&mut self, room_in: Duration) {
+        self.without_room += 1.0;
+        self.room_in = self.room_in.mul_f64(1.0 - SMOOTHING) + room_in.mul_f64(SMOOTHING);
+    }
+
+    fn fade(&mut self, now: time::MonotonicTime) {
+        let ages = now.since(self.at).as_secs_f64() / MEMORY.as_secs_f64();
+        let left = (-ages).exp();
+        self.asked *= left;
+        self.offered *= left;
+        self.without_room *= left;
+        self.at = now;
+    }
+}
+
+/// Throttles of every service and route.
+#[derive(Debug, Clone, Default)]
+pub struct ThrottleTable(IndexMap<(ids::EntryName, ids::EntryName), RouteThrottle>);
+
+impl ThrottleTable {
+    /// The share of calls that are to be refused now.
+    pub fn refused_share(
+        &mut self,
+        service: &ids::EntryName,
+        route: &ids::EntryName,
+        now: time::MonotonicTime,
+    ) -> f64 {
+        while self.0.len() >= MOST_ROUTES {
+            self.0.shift_remove_index(0);
+        }
+        let key = (service.clone(), route.clone());
+        self.0.entry(key).or_default().refused_share(now)
+    }
+
+    /// Takes a call that came, and whether it is offered.
+    pub fn note(&mut self, service: &ids::EntryName, route: &ids::EntryName, is_offered: bool) {
+        if let Some(throttle) = self.0.get_mut(&(service.clone(), route.clone())) {
+            throttle.asked += 1.0;
+            throttle.offered += f64::from(u8::from(is_offered));
+        }
+    }
+
+    /// Takes a call that found no room, and when its target said that there would be some.
+    pub fn note_no_room(
+        &mut self,
+        service: &ids::EntryName,
+        route: &ids::EntryName,
+        room_in: Duration,
+    ) {
+        if let Some(throttle) = self.0.get_mut(&(service.clone(), route.clone())) {
+            throttle.note_no_room(room_in);
+        }
+    }
+
+    /// Time after which targets have room for a call of the route, by what they said lately.
+    pub fn room_in(&self, service: &ids::EntryName, route: &ids::EntryName) -> Duration {
+        let throttle = self.0.get(&(service.clone(), route.clone()));
+        throttle.map_or(Duration::ZERO, |throttle| throttle.room_in)
+    }
+}
--- a/crates/engine/src/routing.rs
+++ b/crates/engine/src/routing.rs
@@ -101,16 +101,17 @@
 }
 
 impl RoutingState {
-    /// Takes a load report of a service's target.
+    /// Takes a load report that came with the end of a try.
     pub fn take_report(
         &mut self,
         service: &ids::EntryName,
+        route: &ids::EntryName,
         target: &ids::TargetName,
         load: wire::LoadReport,
         now: hazeltiller_units::time::MonotonicTime,
     ) {
         if let Some(view) = self.views.get_mut(target) {
-            view.take_report(load, now);
+            view.take_report(route, load, now);
             self.typical.note(service, view.others_per_slot());
         }
     }
@@ -244,7 +245,7 @@
                 place,
                 warmth: view.warmth(state.now, slow_start),
                 pressure: view.pressure(target.slots, typical, state.now, half_life),
-                service_s: view.fresh_service_s(state.now, half_life),
+                service_s: view.fresh_run_s(request.route, state.now, half_life),
             }
         })
         .collect()
--- a/crates/engine/src/routing/expected.rs
+++ b/crates/engine/src/routing/expected.rs
@@ -92,7 +92,7 @@
     let targets = state.routing.table.of_service(request.service);
     let weight = |place: &usize| {
         let target = &targets[*place];
-        f64::from(target.slots.max(1)) / run_time(state, target).unwrap_or(typical)
+        f64::from(target.slots.max(1)) / run_time(state, request, target).unwrap_or(typical)
     };
     let weights: Vec<(usize, f64)> = places.iter().map(|place| (*place, weight(place))).collect();
     // Weights are positive and finite, so that this does not fail; without it any target may do.
@@ -103,18 +103,24 @@
     )
 }
 
-/// Measured time of a run of a target by what was last heard of it.
-fn run_time(state: &reducer::EngineState, target: &table::ReadyTarget) -> Option<f64> {
+/// Measured time of a run of the call's route at a target by what was last heard of it.
+fn run_time(
+    state: &reducer::EngineState,
+    request: &ChoiceRequest,
+    target: &table::ReadyTarget,
+) -> Option<f64> {
     let half_life = settings::millis(state.settings.tunables.routing.load_half_life_ms);
     let view = &state.routing.views[&target.target];
-    view.fresh_service_s(state.now, half_life)
+    view.fresh_run_s(request.route, state.now, half_life)
 }
 
 /// Mean time of a run of those places that have shown one.
 fn typical_run(state: &reducer::EngineState, request: &ChoiceRequest, places: &[usize]) -> f64 {
     let targets = state.routing.table.of_service(request.service);
     let known = places.iter().map(|place| &targets[*place]);
-    let known: Vec<f64> = known.filter_map(|target| run_time(state, target)).collect();
+    let known: Vec<f64> = known
+        .filter_map(|target| run_time(state, request, target))
+        .collect();
     if known.is_empty() {
         UNKNOWN_RUN_S
     } else {
@@ -139,8 +145,9 @@
     let weigh_one = |place: &usize| {
         let target = &targets[*place];
         let view = &state.routing.views[&target.target];
-        let shown = run_time(state, target);
+        let shown = run_time(state, request, target);
         let run = shown.unwrap_or(typical);
+        let held = view.fresh_service_s(state.now, half_life).unwrap_or(run);
         let slots = f64::from(view.usable_slots(target.slots));
         let is_own = target.instance == state.settings.identity.instance;
         // The one that comes is counted in the pressure.
@@ -149,7 +156,7 @@
         } else {
             f64::from(target.slots) * view.pressure(target.slots, typical_use, state.now, half_life)
         };
-        let wait_s = (pressure - slots).max(0.0) * run / slots.max(1.0);
+        let wait_s = (pressure - slots).max(0.0) * held / slots.max(1.0);
         let distance_s = match target.distance {
             _ if is_own => 0.0,
             table::TargetDistance::SameCentre => offer_s,
--- a/crates/engine/src/routing/view.rs
+++ b/crates/engine/src/routing/view.rs
@@ -4,6 +4,7 @@
 
 use hazeltiller_units::{ids, time};
 use hazeltiller_wire::calls as wire;
+use indexmap::IndexMap;
 
 use crate::health;
 
@@ -11,6 +12,8 @@
 const FIRST_WARMTH: f64 = 0.1;
 /// Half-lives after which a measured time of a run is old.
 const FRESH_HALF_LIVES: u32 = 5;
+/// Routes whose times are remembered for a target.
+const MOST_ROUTES: usize = 16;
 
 /// One target as the ingress side of this process sees it.
 #[derive(Debug, Clone, PartialEq)]
@@ -24,6 +27,15 @@
     /// When it was first seen ready; absent when it was ready before this process looked.
     ready_since: Option<time::MonotonicTime>,
     report: Option<HeldReport>,
+    /// Times of runs by route; routes differ several times over, and targets run them in different parts.
+    runs: IndexMap<ids::EntryName, HeldRun>,
+}
+
+/// Time of a run of one route with when it was told.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct HeldRun {
+    time: Duration,
+    at: time::MonotonicTime,
 }
 
 /// A report with what it was taken at.
@@ -48,6 +60,7 @@
             health: health::EjectionState::default(),
             ready_since: (!was_ready_before).then_some(now),
             report: None,
+            runs: IndexMap::new(),
         }
     }
 
@@ -62,7 +75,19 @@
     }
 
     /// Takes a report that came with an answer, while the answered call is still counted.
-    pub fn take_report(&mut self, load: wire::LoadReport, now: time::MonotonicTime) {
+    pub fn take_report(
+        &mut self,
+        route: &ids::EntryName,
+        load: wire::LoadReport,
+        now: time::MonotonicTime,
+    ) {
+        if load.route_us > 0 {
+            let time = Duration::from_micros(u64::from(load.route_us));
+            self.runs.insert(route.clone(), HeldRun { time, at: now });
+        }
+        while self.runs.len() > MOST_ROUTES {
+            self.runs.shift_remove_index(0);
+        }
         let of_others = (load.in_flight + load.queued).saturating_sub(self.outstanding);
         self.report = Some(HeldReport {
             load,
@@ -106,17 +131,30 @@
         reported.min(announced).max(1)
     }
 
-    /// Measured time of a run in seconds, unless the report is old: then the target is tried again.
+    /// Measured time of a run of a route in seconds, unless it was told long ago: then the target is tried
+    /// again.
+    pub fn fresh_run_s(
+        &self,
+        route: &ids::EntryName,
+        now: time::MonotonicTime,
+        half_life: Duration,
+    ) -> Option<f64> {
+        let run = self.runs.get(route)?;
+        let is_fresh = now.since(run.at) < half_life * FRESH_HALF_LIVES;
+        is_fresh.then_some(run.time.as_secs_f64())
+    }
+
+    /// Measured time of a run of any route in seconds: how long a slot is held; unless the report is old.
     pub fn fresh_service_s(&self, now: time::MonotonicTime, half_life: Duration) -> Option<f64> {
         let is_fresh = |report: &HeldReport| now.since(report.at) < half_life * FRESH_HALF_LIVES;
         let report = self.report.filter(is_fresh)?;
         (report.load.service_us > 0).then(|| f64::from(report.load.service_us) / 1e6)
     }
 
-    /// Measured time of a run; zero before the first report.
-    pub fn service_time(&self) -> Duration {
-        let micros = self.report.map_or(0, |report| report.load.service_us);
-        Duration::from_micros(u64::from(micros))
+    /// Measured time of a run of a route; zero before the first report.
+    pub fn run_time(&self, route: &ids::EntryName) -> Duration {
+        let run = self.runs.get(route);
+        run.map_or(Duration::ZERO, |run| run.time)
     }
 
     /// Whether it may take a call beside those that it has: after an ejection it takes one at a
--- a/crates/engine/tests/expected.rs
+++ b/crates/engine/tests/expected.rs
@@ -45,18 +45,24 @@
     }
 
     fn report(&mut self, target: &str, in_flight: u32, service_us: u32) {
+        self.report_of_route(target, in_flight, service_us, service_us);
+    }
+
+    /// What a target that runs calls of several routes reports with an answer to a lookup.
+    fn report_of_route(&mut self, target: &str, in_flight: u32, service_us: u32, route_us: u32) {
         let load = wire::LoadReport {
             in_flight,
             queued: 0,
             slots: SLOTS,
             service_us,
+            route_us,
             is_failing: false,
         };
         let name = target.parse().expect("it is a name");
         let now = self.node.now;
-        let service = "registru".parse().expect("it is a name");
+        let [service, route] = ["registru", "any"].map(|name| name.parse().expect("it is a name"));
         let routing = &mut self.node.state.routing;
-        routing.take_report(&service, &name, load, now);
+        routing.take_report(&service, &route, &name, load, now);
     }
 
     fn arrive(&mut self) -> calls::AttemptPlan {
@@ -91,6 +97,20 @@
     assert!((3..=12).contains(&slow), "{more:?}");
 }
 
+/// A target that also runs many short calls of another route is no faster for a long one.
+#[test]
+fn short_runs_not_speed() {
+    let mut ingress = Ingress::new(&[("mixed", "brasov-a", 100), ("plain", "brasov-a", 100)]);
+    ingress.report_of_route("mixed", SLOTS, 20_000, 100_000);
+    ingress.report_of_route("plain", SLOTS - 2, 100_000, 100_000);
+    let spread = ingress.spread(2);
+    assert_eq!(
+        spread,
+        IndexMap::from([("plain".into(), 2)]),
+        "it has free slots"
+    );
+}
+
 #[test]
 fn near_first() {
     let mut ingress = Ingress::new(&[("near", "brasov-a", 100), ("far", "sibiu-a", 100)]);
--- a/crates/engine/tests/health.rs
+++ b/crates/engine/tests/health.rs
@@ -184,6 +184,7 @@
                 queued: 0,
                 slots: 10,
                 service_us: 1000,
+                route_us: 1000,
                 is_failing: is_bad,
             };
             let result = calls::AttemptResult::Answered {
--- a/crates/engine/tests/overload.rs
+++ b/crates/engine/tests/overload.rs
@@ -247,3 +247,26 @@
         );
     }
 }
+
+/// What lookups' runs used while more issues came than `arhiva` can take, which runs the calls of lookups too.
+fn lookups_beside_issues(seed: u64) -> model::KindCount {
+    let mut kinds = kinds(1.0, model::CallMoment::Last);
+    kinds[1].rate *= 2.0;
+    let mut model = model(seed).with_processors(MESSAGE_TIME);
+    let mut counts = model.run(&kinds, CALM);
+    counts.swap_remove(0)
+}
+
+/// Slots are not held by runs that come to nothing because a call of theirs is refused.
+#[test]
+fn slots_not_wasted() {
+    for seed in 1..=3 {
+        let lookups = lookups_beside_issues(seed);
+        let wasted = lookups.wasted_share();
+        println!(
+            "seed {seed}, beside issues: lookups in time {:.3}, slot time wasted {wasted:.3}",
+            in_time(&lookups)
+        );
+        assert!(wasted <= 0.1, "seed {seed}: {wasted:.3}");
+    }
+}
--- a/crates/engine/tests/routing.rs
+++ b/crates/engine/tests/routing.rs
@@ -116,6 +116,7 @@
                 queued: 0,
                 slots: 10,
                 service_us: (self.service_us)(&target),
+                route_us: (self.service_us)(&target),
                 is_failing: false,
             };
             self.answer(call, Some(report));
--- a/crates/engine/tests/urgency.rs
+++ b/crates/engine/tests/urgency.rs
@@ -229,7 +229,7 @@
     }
     assert_eq!(running.len(), 2, "no slot is idle for it");
     assert_eq!(waited_for, 1, "as many as started");
-    let report = hazeltiller_engine::admission::report(
+    let report = hazeltiller_engine::admission::load(
         &desk.node.state,
         &TARGET.parse().expect("it is a name"),
     );
--- a/crates/units/src/code.rs
+++ b/crates/units/src/code.rs
@@ -85,6 +85,7 @@
     AnswerUnsound = 3020, "the target's answer is not a whole answer to the request", "resend the request if it may run twice";
     BodyOverLimit = 3021, "the request's body is larger than the listener takes", "send a smaller body";
     LatencyUnreachable = 3022, "the call could not have been answered within its route's target latency", "come back after the named time";
+    ServiceSaturated = 3023, "no target had room for most of the latest calls of the route", "come back after the named time";
     QuorumMissing = 4001, "no majority of the control group can be reached", "resend the change when the group is whole";
     OutcomeUnknown = 4002, "the change may or may not have been accepted", "resend it with the same change id";
     LeaderUnknown = 4003, "the control group has no leader at the moment", "resend the change in a moment";
--- a/crates/wire/src/calls.rs
+++ b/crates/wire/src/calls.rs
@@ -308,8 +308,10 @@
     pub queued: u32,
     /// Requests that can run at once.
     pub slots: u32,
-    /// Smoothed time of a run, in microseconds; 0 before the first.
+    /// Smoothed time of a run of any route, in microseconds; 0 before the first. How fast slots free.
     pub service_us: u32,
+    /// The same of the route of the call that the report goes with. How fast the target is.
+    pub route_us: u32,
     /// Whether its owner node holds it unhealthy by the outcomes that it saw.
     pub is_failing: bool,
 }
