A throttle is forgotten only for a newer route, and refusals without an offer are counted with their route

Found reading the diff: at 512 routes the table of throttles dropped its oldest entry with every call, so that a busy route's was lost each time (throttle::busy_route_remembered, red before); and a call refused with HZ3023 stood in the metrics without service and class, and not in route_usage, since only an offer named it.

--- a/crates/daemon/src/engine_actor.rs
+++ b/crates/daemon/src/engine_actor.rs
@@ -179,7 +179,7 @@
     }
 
     fn run(&mut self, effect: event::Effect) {
-        self.outlets.observer.effect(&effect);
+        self.outlets.observer.effect(&self.state, &effect);
         match effect {
             event::Effect::Send { to, message } => {
                 let clock = self.outlets.clock.tick();
--- a/crates/daemon/src/observer.rs
+++ b/crates/daemon/src/observer.rs
@@ -117,7 +117,7 @@
     }
 
     /// Sees an effect before it is run.
-    pub fn effect(&mut self, effect: &event::Effect) {
+    pub fn effect(&mut self, state: &reducer::EngineState, effect: &event::Effect) {
         match effect {
             event::Effect::Replication(replication::ReplicationEffect::Answer {
                 number,
@@ -156,7 +156,7 @@
                 self.timeline
                     .note(TimelineEvent::TargetWithdrawn { target });
             }
-            event::Effect::Calls(effect) => self.call_effect(effect),
+            event::Effect::Calls(effect) => self.call_effect(state, effect),
             event::Effect::Note(event) => self.timeline.note(event.clone()),
             _ => {}
         }
@@ -208,7 +208,7 @@
                 });
             }
             calls::CallEvent::Offered { call, offer } => {
-                self.name_call(*call, offer);
+                self.name_call(*call, [&offer.service, &offer.class, &offer.route]);
                 self.usage.of_route(&offer.route).offers += 1;
                 if let Some(open) = self.calls.get_mut(call) {
                     open.latency_left = Duration::from_millis(u64::from(offer.latency_left_ms));
@@ -302,10 +302,11 @@
         self.timeline.log_request(&open.records);
     }
 
-    fn call_effect(&mut self, effect: &calls::CallEffect) {
+    fn call_effect(&mut self, state: &reducer::EngineState, effect: &calls::CallEffect) {
         match effect {
             calls::CallEffect::Attempt(call, plan) => {
-                self.name_call(*call, &plan.offer);
+                let offer = &plan.offer;
+                self.name_call(*call, [&offer.service, &offer.class, &offer.route]);
                 self.count_try(&plan.offer);
                 self.usage.of_route(&plan.offer.route).tries += 1;
                 self.begin_step(*call);
@@ -344,7 +345,14 @@
                     });
                 }
             }
-            calls::CallEffect::Refuse(call, refusal) => self.refused(*call, refusal),
+            calls::CallEffect::Refuse(call, refusal) => {
+                // One that was offered to no target has no name yet.
+                if let Some(record) = state.calls.ingress.get(call) {
+                    let terms = &record.terms;
+                    self.name_call(*call, [&terms.service, &terms.class, &terms.route]);
+                }
+                self.refused(*call, refusal);
+            }
             calls::CallEffect::Replay(..) => {}
         }
     }
@@ -401,11 +409,11 @@
         self.close(call, Some(refused));
     }
 
-    fn name_call(&mut self, call: ids::CallId, offer: &hazeltiller_wire::calls::CallOffer) {
+    fn name_call(&mut self, call: ids::CallId, [service, class, route]: [&ids::EntryName; 3]) {
         if let Some(open) = self.calls.get_mut(&call) {
-            open.service = Some(offer.service.clone());
-            open.class = Some(offer.class.clone());
-            open.route = Some(offer.route.clone());
+            open.service = Some(service.clone());
+            open.class = Some(class.clone());
+            open.route = Some(route.clone());
         }
     }
 
--- a/crates/engine/src/calls/throttle.rs
+++ b/crates/engine/src/calls/throttle.rs
@@ -79,11 +79,12 @@
         route: &ids::EntryName,
         now: time::MonotonicTime,
     ) -> f64 {
-        while self.0.len() >= MOST_ROUTES {
+        let key = (service.clone(), route.clone());
+        let share = self.0.entry(key).or_default().refused_share(now);
+        while self.0.len() > MOST_ROUTES {
             self.0.shift_remove_index(0);
         }
-        let key = (service.clone(), route.clone());
-        self.0.entry(key).or_default().refused_share(now)
+        share
     }
 
     /// Takes a call that came, and whether it is offered.
--- a/crates/engine/tests/throttle.rs
+++ b/crates/engine/tests/throttle.rs
@@ -129,3 +129,20 @@
     });
     assert_eq!(refused.count(), 0, "two a second tell nothing");
 }
+
+/// A busy route is still known after many others were asked for.
+#[test]
+fn busy_route_remembered() {
+    let mut table = calls::throttle::ThrottleTable::default();
+    let name = |text: String| -> ids::EntryName { text.parse().expect("it is a name") };
+    let (service, busy) = (name("registru".into()), name("lookup".into()));
+    let now = hazeltiller_units::time::MonotonicTime::default();
+    for number in 0..600 {
+        table.refused_share(&service, &name(format!("idle-{number}")), now);
+    }
+    for _ in 0..20 {
+        table.refused_share(&service, &busy, now);
+        table.note(&service, &busy, false);
+    }
+    assert!(table.refused_share(&service, &busy, now) > 0.5);
+}
