A call over its owner's rate is told of the rate, and throttled callers come back when targets said

Found reading the diff: a refusal for the owner's rate counted as one for want of room, so that more calls over a rate would have been refused with HZ3023 and 503 instead of HZ3004 and 429 (throttle::rate_still_told, red before); and the smoothed time to come back began at nothing, so that the first throttled callers were told a tenth of it.

--- a/crates/engine/src/calls/ingress.rs
+++ b/crates/engine/src/calls/ingress.rs
@@ -259,7 +259,8 @@
     if refusal.code == code::ResultCode::TargetMissing {
         return refuse_missing(state, call, refusal, output);
     }
-    if proof == retry::FailureProof::NotOffered {
+    let is_over_rate = refusal.code == code::ResultCode::RateExceeded;
+    if proof == retry::FailureProof::NotOffered && !is_over_rate {
         let room_in = Duration::from_millis(u64::from(refusal.retry_after_ms));
         let throttles = &mut state.calls.throttles;
         throttles.note_no_room(&terms.service, &terms.route, room_in);
--- a/crates/engine/src/calls/throttle.rs
+++ b/crates/engine/src/calls/throttle.rs
@@ -54,7 +54,11 @@
 
     fn note_no_room(&mut self, room_in: Duration) {
         self.without_room += 1.0;
-        self.room_in = self.room_in.mul_f64(1.0 - SMOOTHING) + room_in.mul_f64(SMOOTHING);
+        self.room_in = if self.room_in.is_zero() {
+            room_in
+        } else {
+            self.room_in.mul_f64(1.0 - SMOOTHING) + room_in.mul_f64(SMOOTHING)
+        };
     }
 
     fn fade(&mut self, now: time::MonotonicTime) {
--- a/crates/engine/tests/throttle.rs
+++ b/crates/engine/tests/throttle.rs
@@ -31,6 +31,8 @@
 struct Ingress {
     node: node::NodeReducer,
     last: u64,
+    /// Why targets give calls back.
+    code: code::ResultCode,
 }
 
 impl Ingress {
@@ -42,7 +44,11 @@
             1,
             vec![node::target("registru-1", "registru", 4)],
         );
-        Self { node, last: 0 }
+        Self {
+            node,
+            last: 0,
+            code: code::ResultCode::LatencyUnreachable,
+        }
     }
 
     /// Has a call come; returns the refusal of one that is not offered, whose target has room or not.
@@ -68,7 +74,7 @@
     fn end(&mut self, call: ids::CallId, has_room: bool) {
         let full = wire::CallRefusal {
             retry_after_ms: ROOM_IN_MS,
-            ..wire::CallRefusal::not_run(code::ResultCode::LatencyUnreachable).elsewhere()
+            ..wire::CallRefusal::not_run(self.code).elsewhere()
         };
         let result = if has_room {
             calls::AttemptResult::Answered { status: 200 }
@@ -130,6 +136,15 @@
     assert_eq!(refused.count(), 0, "two a second tell nothing");
 }
 
+/// A call over its owner's rate says nothing of room, and its caller is told of the rate.
+#[test]
+fn rate_still_told() {
+    let mut ingress = Ingress::new();
+    ingress.code = code::ResultCode::RateExceeded;
+    let asked = (0..200).filter_map(|_| ingress.ask("/lookup/1", false));
+    assert_eq!(asked.count(), 0, "each call is offered");
+}
+
 /// A busy route is still known after many others were asked for.
 #[test]
 fn busy_route_remembered() {
