--- a/tests/all/promises.rs
+++ b/tests/all/promises.rs
@@ -57,7 +57,7 @@
     let docs = Path::new(env!("CARGO_MANIFEST_DIR")).join("docs");
     let summary = std::fs::read_to_string(docs.join("SUMMARY.md")).expect("it is committed");
     let mut pages = 0;
-    for folder in ["", "design", "operators"] {
+    for folder in ["", "design", "incidents", "operators"] {
         let entries = std::fs::read_dir(docs.join(folder)).expect("the folder is committed");
         for entry in entries {
             let path = entry.expect("the folder is readable").path();
