A call refused without an offer names the limit that targets named lately

limits::rank_and_weight failed in the whole check, and each time when run alone: a refusal with HZ3023 named no limit, where every refusal in a shortage is to name the one that did it. The throttle now keeps the limit of the latest refusal for want of room.

--- a/crates/engine/src/calls/ingress.rs
+++ b/crates/engine/src/calls/ingress.rs
@@ -122,12 +122,11 @@
     call: ids::CallId,
     output: &mut event::ReducerOutput,
 ) {
-    let mut refusal = wire::CallRefusal::not_run(code::ResultCode::ServiceSaturated);
-    if let Some(record) = state.calls.ingress.get(&call) {
-        let (service, route) = (&record.terms.service, &record.terms.route);
-        let room_in = state.calls.throttles.room_in(service, route);
-        refusal.retry_after_ms = (room_in.as_millis() as u32).max(1);
-    }
+    let Some(record) = state.calls.ingress.get(&call) else {
+        return;
+    };
+    let (service, route) = (&record.terms.service, &record.terms.route);
+    let mut refusal = state.calls.throttles.refusal(service, route);
     refusal.retry_after_ms = spread(state, refusal.retry_after_ms);
     output.refuse(call, refusal);
 }
@@ -261,9 +260,8 @@
     }
     let is_over_rate = refusal.code == code::ResultCode::RateExceeded;
     if proof == retry::FailureProof::NotOffered && !is_over_rate {
-        let room_in = Duration::from_millis(u64::from(refusal.retry_after_ms));
         let throttles = &mut state.calls.throttles;
-        throttles.note_no_room(&terms.service, &terms.route, room_in);
+        throttles.note_no_room(&terms.service, &terms.route, &refusal);
     }
     refusal.retry_after_ms = spread(state, refusal.retry_after_ms);
     output.refuse(call, refusal);
--- a/crates/engine/src/calls/throttle.rs
+++ b/crates/engine/src/calls/throttle.rs
@@ -7,7 +7,8 @@
 
 use std::time::Duration;
 
-use hazeltiller_units::{ids, time};
+use hazeltiller_units::{code, ids, time};
+use hazeltiller_wire::calls as wire;
 use indexmap::IndexMap;
 
 /// Time over which what was seen fades.
@@ -24,7 +25,7 @@
 const MOST_ROUTES: usize = 512;
 
 /// What became of the latest calls of a route, fading.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct RouteThrottle {
     /// Calls that came.
     asked: f64,
@@ -35,6 +36,8 @@
     at: time::MonotonicTime,
     /// When targets said that there would be room, smoothed.
     room_in: Duration,
+    /// The limit that the latest of them named.
+    limit: Option<wire::CallLimit>,
 }
 
 impl RouteThrottle {
@@ -52,8 +55,10 @@
         (self.offered - self.without_room).max(0.0)
     }
 
-    fn note_no_room(&mut self, room_in: Duration) {
+    fn note_no_room(&mut self, refusal: &wire::CallRefusal) {
+        let room_in = Duration::from_millis(u64::from(refusal.retry_after_ms));
         self.without_room += 1.0;
+        self.limit.clone_from(&refusal.limit);
         self.room_in = if self.room_in.is_zero() {
             room_in
         } else {
@@ -99,21 +104,26 @@
         }
     }
 
-    /// Takes a call that found no room, and when its target said that there would be some.
+    /// Takes the refusal of a call that found no room.
     pub fn note_no_room(
         &mut self,
         service: &ids::EntryName,
         route: &ids::EntryName,
-        room_in: Duration,
+        refusal: &wire::CallRefusal,
     ) {
         if let Some(throttle) = self.0.get_mut(&(service.clone(), route.clone())) {
-            throttle.note_no_room(room_in);
+            throttle.note_no_room(refusal);
         }
     }
 
-    /// Time after which targets have room for a call of the route, by what they said lately.
-    pub fn room_in(&self, service: &ids::EntryName, route: &ids::EntryName) -> Duration {
+    /// The refusal of a call that is not offered: with what targets said to the latest ones that were.
+    pub fn refusal(&self, service: &ids::EntryName, route: &ids::EntryName) -> wire::CallRefusal {
         let throttle = self.0.get(&(service.clone(), route.clone()));
-        throttle.map_or(Duration::ZERO, |throttle| throttle.room_in)
+        let room_in = throttle.map_or(Duration::ZERO, |throttle| throttle.room_in);
+        wire::CallRefusal {
+            retry_after_ms: (room_in.as_millis() as u32).max(1),
+            limit: throttle.and_then(|throttle| throttle.limit.clone()),
+            ..wire::CallRefusal::not_run(code::ResultCode::ServiceSaturated)
+        }
     }
 }
