--- a/crates/testkit/src/model/run/callers.rs
+++ b/crates/testkit/src/model/run/callers.rs
@@ -62,23 +62,11 @@
         let left = |patience: Duration| patience.saturating_sub(self.now.since(call.began));
         let arrival = calls::CallArrival {
             deadline_left: kind.habit.patience.map(left),
-            caller: Some(self.caller_service(call)),
             ..node::arrival(number, kind.path)
         };
         self.ask_ingress(number, calls::CallEvent::Arrived(arrival));
     }
 
-    /// Service beside whose target a call begins: the one that its run is at, or for callers' own requests
-    /// that of any node.
-    fn caller_service(&self, call: &ModelCall) -> ids::EntryName {
-        let target = match call.parent.and_then(|parent| self.tries.get(&parent)) {
-            Some(run) => run.target,
-            None => call.ingress % self.targets.len(),
-        };
-        let name = self.targets[target].settings.service_name;
-        name.parse().expect("it is a name")
-    }
-
     /// A caller without a good answer comes back, if it still does.
     pub(super) fn send_again(&mut self, mut call: ModelCall, room_in: Duration) {
         let Some(patience) = self.kind(call.kind).habit.patience else {
