--- a/crates/engine/src/calls/throttle.rs
+++ b/crates/engine/src/calls/throttle.rs
@@ -1,7 +1,7 @@
 //! Calls that are refused where they come in, since no target has had room for most of the latest ones.
 //!
 //! An offer that is given back costs two nodes their processors and the caller its time. While more comes than
-//! targets take, this node offers only somewhat more than they took lately, which is enough to see when they
+//! targets take, this node offers only twice what they took lately, which is enough to see when they
 //! take more again, and refuses the rest at once. What it learns is of one route to one service: routes of a
 //! service are not refused alike.
 
--- a/crates/engine/tests/overload.rs
+++ b/crates/engine/tests/overload.rs
@@ -85,40 +85,41 @@
 }
 
 /// What became of each kind of calls before, in and after a surge.
-type SurgeCounts = [Vec<model::KindCount>; 3];
-
-/// Has load rise to one and a half times what can be served and fall back; what comes within `settling` after
-/// that is not counted.
-fn play_surge(
-    mut model: model::CallModel,
-    moment: model::CallMoment,
-    surge: Duration,
-    settling: Duration,
-) -> SurgeCounts {
-    let phases = vec![
-        (kinds(1.0, moment), CALM),
-        (kinds(1.6, moment), surge),
-        (kinds(1.0, moment), settling),
-        (kinds(1.0, moment), CALM),
-    ];
-    let mut counts = model.run_phases(phases).into_iter();
-    let mut next = || counts.next().expect("four phases were played");
-    let (before, surge, _settling, after) = (next(), next(), next(), next());
-    [before, surge, after]
-}
-
-/// What became of lookups before, in and after the surge.
 struct Surge {
     seed: u64,
-    before: model::KindCount,
-    surge: model::KindCount,
-    after: model::KindCount,
+    before: Vec<model::KindCount>,
+    surge: Vec<model::KindCount>,
+    after: Vec<model::KindCount>,
 }
 
 impl Surge {
     fn play(seed: u64) -> Self {
-        let counts = play_surge(model(seed), model::CallMoment::First, SURGE, RETURN);
-        let [before, surge, after] = counts.map(|mut kinds| kinds.swap_remove(0));
+        Self::play_on(seed, model(seed), model::CallMoment::First, [SURGE, RETURN])
+    }
+
+    /// The same for longer, on nodes with little processor time, by runs that call others at their end.
+    fn play_narrow(seed: u64) -> Self {
+        let model = model(seed).with_processors(MESSAGE_TIME);
+        Self::play_on(seed, model, model::CallMoment::Last, [CALM, SURGE])
+    }
+
+    /// Has load rise to one and a half times what can be served and fall back; what comes within `settling`
+    /// after that is not counted.
+    fn play_on(
+        seed: u64,
+        mut model: model::CallModel,
+        moment: model::CallMoment,
+        [surge, settling]: [Duration; 2],
+    ) -> Self {
+        let phases = vec![
+            (kinds(1.0, moment), CALM),
+            (kinds(1.6, moment), surge),
+            (kinds(1.0, moment), settling),
+            (kinds(1.0, moment), CALM),
+        ];
+        let mut counts = model.run_phases(phases).into_iter();
+        let mut next = || counts.next().expect("four phases were played");
+        let (before, surge, _settling, after) = (next(), next(), next(), next());
         let played = Self {
             seed,
             before,
@@ -129,15 +130,29 @@
         played
     }
 
+    /// Offers in the surge for each call that came to an ingress node.
+    fn offers_per_call(&self) -> f64 {
+        let sum = |part: fn(&model::KindCount) -> u64| self.surge.iter().map(part).sum::<u64>();
+        sum(|count| count.tries) as f64 / sum(|count| count.arrivals) as f64
+    }
+
+    fn refusal_time(&self) -> Duration {
+        Duration::from_micros(self.surge[0].refusal_quantile(0.5))
+    }
+
     fn figures(&self) -> String {
+        let [before, surge, after] = [&self.before, &self.surge, &self.after]
+            .map(|counts| format!("{:.3} {:.3}", in_time(&counts[0]), in_time(&counts[1])));
+        let lookups = &self.surge[0];
         format!(
-            "seed {}: in time {:.3}, {:.3}, {:.3}; runs wasted in the surge {} of {}",
+            "seed {}: lookups and issues in time {before}, {surge}, {after}; in the surge {:.2} offers a call, \
+             refused after {:?}, runs wasted {} of {}, {:.3} of slot time",
             self.seed,
-            in_time(&self.before),
-            in_time(&self.surge),
-            in_time(&self.after),
-            self.surge.wasted,
-            self.surge.runs,
+            self.offers_per_call(),
+            self.refusal_time(),
+            lookups.wasted,
+            lookups.runs,
+            lookups.wasted_share(),
         )
     }
 }
@@ -154,7 +169,7 @@
 #[test]
 fn ends_with_load() {
     for played in &*SURGES {
-        let (before, after) = (in_time(&played.before), in_time(&played.after));
+        let (before, after) = (in_time(&played.before[0]), in_time(&played.after[0]));
         assert!(after >= 0.9 * before, "{}", played.figures());
     }
 }
@@ -164,7 +179,7 @@
 #[test]
 fn runs_not_wasted() {
     for played in &*SURGES {
-        let surge = &played.surge;
+        let surge = &played.surge[0];
         assert!(surge.wasted * 2 <= surge.runs, "{}", played.figures());
     }
 }
@@ -178,55 +193,9 @@
 /// Longest time to a refusal that leaves a caller most of its time.
 const REFUSAL_TIME: Duration = Duration::from_millis(75);
 
-/// The same surge, for longer, on nodes with little processor time, by runs that call others at their end.
-struct NarrowSurge {
-    seed: u64,
-    before: Vec<model::KindCount>,
-    surge: Vec<model::KindCount>,
-    after: Vec<model::KindCount>,
-}
-
-impl NarrowSurge {
-    fn play(seed: u64) -> Self {
-        let model = model(seed).with_processors(MESSAGE_TIME);
-        let [before, surge, after] = play_surge(model, model::CallMoment::Last, CALM, SURGE);
-        let played = Self {
-            seed,
-            before,
-            surge,
-            after,
-        };
-        println!("{}", played.figures());
-        played
-    }
-
-    /// Offers in the surge for each call that came to an ingress node.
-    fn offers_per_call(&self) -> f64 {
-        let sum = |part: fn(&model::KindCount) -> u64| self.surge.iter().map(part).sum::<u64>();
-        sum(|count| count.tries) as f64 / sum(|count| count.arrivals) as f64
-    }
-
-    fn refusal_time(&self) -> Duration {
-        Duration::from_micros(self.surge[0].refusal_quantile(0.5))
-    }
-
-    fn figures(&self) -> String {
-        let [before, surge, after] = [&self.before, &self.surge, &self.after]
-            .map(|counts| format!("{:.3} {:.3}", in_time(&counts[0]), in_time(&counts[1])));
-        format!(
-            "seed {}, narrow nodes: lookups and issues in time {before}, {surge}, {after}; in the surge {:.2} \
-             offers a call, refused after {:?}, {:.3} of slot time wasted",
-            self.seed,
-            self.offers_per_call(),
-            self.refusal_time(),
-            self.surge[0].wasted_share(),
-        )
-    }
-}
-
 /// A surge on narrow nodes for each seed.
-static NARROW_SURGES: LazyLock<Vec<NarrowSurge>> =
-    LazyLock::new(|| (1..=3).map(NarrowSurge::play).collect());
+static NARROW_SURGES: LazyLock<Vec<Surge>> =
+    LazyLock::new(|| (1..=3).map(Surge::play_narrow).collect());
 
 #[test]
 fn overload_not_sustained() {
