--- a/crates/engine/src/admission.rs
+++ b/crates/engine/src/admission.rs
@@ -17,10 +17,13 @@
 pub mod pace;
 pub mod queue;
 pub mod rate;
+mod refusal;
 pub mod reserve;
 mod standing;
 mod urgency;
 
+pub use refusal::{refuse_displaced, refuse_waited};
+
 /// Rank of a class that this node does not know yet: it is served last.
 const UNKNOWN_RANK: u32 = 100;
 
@@ -222,50 +225,6 @@
         .collect()
 }
 
-/// The refusal of a call that waited too long for a slot.
-pub fn refuse_waited(
-    state: &reducer::EngineState,
-    offer: &wire::CallOffer,
-    deadline: time::MonotonicTime,
-) -> wire::CallRefusal {
-    if deadline <= state.now {
-        let late = wire::CallRefusal::not_run(code::ResultCode::DeadlineExceeded);
-        let limit = limit(
-            entry::EntryKind::Route,
-            &offer.route,
-            wire::LimitField::Deadline,
-        );
-        return with_load(state, offer, late.by_limit(limit, 0));
-    }
-    let latency = Duration::from_millis(u64::from(offer.latency_left_ms));
-    if urgency::is_bounded(state, offer) && longest_wait(state, offer) > latency {
-        let admission = state.admission.targets.get(&offer.target);
-        let wait = admission.map_or(Duration::ZERO, |admission| {
-            admission.time_to_drain(slots(state, &offer.target))
-        });
-        return refuse_late(state, offer, wait);
-    }
-    let limit = limit(
-        entry::EntryKind::Class,
-        &offer.class,
-        wire::LimitField::QueueTime,
-    );
-    refuse_capacity(state, offer, limit)
-}
-
-/// The refusal of a call that lost its place in a full queue.
-pub fn refuse_displaced(
-    state: &reducer::EngineState,
-    offer: &wire::CallOffer,
-) -> wire::CallRefusal {
-    let limit = limit(
-        entry::EntryKind::Service,
-        &offer.service,
-        wire::LimitField::Queue,
-    );
-    refuse_capacity(state, offer, limit)
-}
-
 /// What is reported of an own target with the answer to a call.
 pub fn report(state: &reducer::EngineState, offer: &wire::CallOffer) -> wire::LoadReport {
     let admission = state.admission.targets.get(&offer.target);
@@ -374,7 +333,7 @@
     let wait = admission.wait(&share, offer, until, room);
     let left = Duration::from_millis(u64::from(offer.deadline_left_ms));
     if wait + run > left {
-        return AdmissionAnswer::Refuse(refuse_unreachable(state, offer, wait));
+        return AdmissionAnswer::Refuse(refusal::refuse_unreachable(state, offer, wait));
     }
     let turnover = admission.pace.time_for(1.0, slots);
     let bearable = if is_last {
@@ -387,15 +346,15 @@
     if is_late || wait > Duration::from_millis(u64::from(offer.patience_ms)) {
         // Room is there once those ahead are so few that the call would be admitted.
         let excess = wait.saturating_sub(bearable);
-        return AdmissionAnswer::Refuse(refuse_late(state, offer, excess.max(turnover)));
+        return AdmissionAnswer::Refuse(refusal::refuse_late(state, offer, excess.max(turnover)));
     }
     if wait > class_wait {
-        let limit = limit(
+        let limit = refusal::limit(
             entry::EntryKind::Class,
             &offer.class,
             wire::LimitField::QueueTime,
         );
-        return AdmissionAnswer::Refuse(refuse_capacity(state, offer, limit));
+        return AdmissionAnswer::Refuse(refusal::refuse_capacity(state, offer, limit));
     }
     let queued = queue::QueuedCall {
         call,
@@ -426,8 +385,8 @@
             } else {
                 wire::LimitField::Queue
             };
-            let limit = limit(entry::EntryKind::Service, &offer.service, field);
-            return AdmissionAnswer::Refuse(refuse_capacity(state, offer, limit));
+            let limit = refusal::limit(entry::EntryKind::Service, &offer.service, field);
+            return AdmissionAnswer::Refuse(refusal::refuse_capacity(state, offer, limit));
         }
     };
     admission.queue.push(share, queued);
@@ -481,15 +440,15 @@
     if wait.is_zero() {
         return None;
     }
-    let limit = limit(
+    let limit = refusal::limit(
         entry::EntryKind::Owner,
         &offer.owner,
         wire::LimitField::Rate,
     );
     let refusal = wire::CallRefusal::not_run(code::ResultCode::RateExceeded)
         .elsewhere()
-        .by_limit(limit, whole_millis(wait));
-    Some(with_load(state, offer, refusal))
+        .by_limit(limit, refusal::whole_millis(wait));
+    Some(refusal::with_load(state, offer, refusal))
 }
 
 /// This node's part of a service's live slots.
@@ -503,79 +462,3 @@
         .sum();
     f64::from(own_slots) / f64::from(table.slots(service).max(1))
 }
-
-fn refuse_capacity(
-    state: &reducer::EngineState,
-    offer: &wire::CallOffer,
-    limit: wire::CallLimit,
-) -> wire::CallRefusal {
-    let slots = slots(state, &offer.target);
-    let admission = state.admission.targets.get(&offer.target);
-    let drained = admission.map_or(Duration::ZERO, |admission| admission.time_to_drain(slots));
-    let refusal = wire::CallRefusal::not_run(code::ResultCode::CapacityExceeded)
-        .elsewhere()
-        .by_limit(limit, whole_millis(drained));
-    with_load(state, offer, refusal)
-}
-
-/// The refusal of a call that another target may answer sooner, or that would wait for longer than
-/// its answer is of full worth: it is told at once, when it can still be of use elsewhere.
-fn refuse_late(
-    state: &reducer::EngineState,
-    offer: &wire::CallOffer,
-    room_in: Duration,
-) -> wire::CallRefusal {
-    let limit = limit(
-        entry::EntryKind::Route,
-        &offer.route,
-        wire::LimitField::TargetLatency,
-    );
-    let refusal = wire::CallRefusal::not_run(code::ResultCode::LatencyUnreachable)
-        .elsewhere()
-        .by_limit(limit, whole_millis(room_in));
-    with_load(state, offer, refusal)
-}
-
-fn refuse_unreachable(
-    state: &reducer::EngineState,
-    offer: &wire::CallOffer,
-    wait: Duration,
-) -> wire::CallRefusal {
-    let limit = limit(
-        entry::EntryKind::Route,
-        &offer.route,
-        wire::LimitField::Deadline,
-    );
-    let refusal = wire::CallRefusal::not_run(code::ResultCode::DeadlineUnreachable)
-        .elsewhere()
-        .by_limit(limit, whole_millis(wait));
-    with_load(state, offer, refusal)
-}
-
-fn with_load(
-    state: &reducer::EngineState,
-    offer: &wire::CallOffer,
-    refusal: wire::CallRefusal,
-) -> wire::CallRefusal {
-    wire::CallRefusal {
-        load: Some(report(state, offer)),
-        ..refusal
-    }
-}
-
-fn limit(
-    kind: entry::EntryKind,
-    name: &ids::EntryName,
-    field: wire::LimitField,
-) -> wire::CallLimit {
-    let name = name.clone();
-    wire::CallLimit {
-        entry: entry::EntryKey { kind, name },
-        field,
-    }
-}
-
-/// A time in milliseconds, at least one: zero means that it is not known.
-fn whole_millis(time: Duration) -> u32 {
-    u32::try_from(time.as_millis()).unwrap_or(u32::MAX).max(1)
-}
