Soak: roll-outs, good and bad, go on beside the faults; targets without a version are old

The soak orders roll-outs at a control by chance, with targets that answer or fail, and checks at its end that the last acknowledged order is known at every control and over.

Reading it showed that targets which tell no version stayed in choice after a roll-out had succeeded, where they are to stop: rollout::old_left_at_end now holds them as old.

--- a/crates/engine/src/rollout/cohort.rs
+++ b/crates/engine/src/rollout/cohort.rs
@@ -110,9 +110,10 @@
 /// may not be used; returns the largest share of calls that a trial can carry.
 pub fn assign(entry: &rollout::RolloutEntry, targets: &mut Vec<table::ReadyTarget>) -> f64 {
     let is_new = |target: &table::ReadyTarget| target.version.as_ref() == Some(&entry.to);
+    // One that does not tell its version was there before versions were told.
     let is_old = |target: &table::ReadyTarget| {
         let version = target.version.as_ref();
-        version.is_some_and(|version| entry.from.contains(version))
+        version.is_none_or(|version| entry.from.contains(version))
     };
     match entry.phase {
         rollout::RolloutPhase::RolledBack => {
--- a/crates/engine/tests/rollout.rs
+++ b/crates/engine/tests/rollout.rs
@@ -147,6 +147,10 @@
         all.iter()
             .all(|target| target.version == Some(version("v2")))
     );
+    let mut untold = both(0, 4);
+    untold.extend(targets("", 2));
+    cohort::assign(&entry(rollout::RolloutPhase::Succeeded), &mut untold);
+    assert_eq!(untold.len(), 4, "targets that tell no version are old");
     let mut only_old = targets("v1", 4);
     cohort::assign(&entry(rollout::RolloutPhase::Succeeded), &mut only_old);
     assert_eq!(only_old.len(), 4, "old targets are better than none");
--- a/tests/all/rollouts.rs
+++ b/tests/all/rollouts.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, process::Output, time::Duration};
 
-use hazeltiller_standin::{behaviour, client, settings, target};
+use hazeltiller_standin::{behaviour, client, target};
 use hazeltiller_testkit::fleet;
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
@@ -18,27 +18,6 @@
 /// Calls that a bad version may have had beside a tenth of all.
 const CANARY_SLACK: usize = 50;
 
-async fn version(
-    fleet: &mut fleet::Fleet,
-    (name, version): (&str, &str),
-    answer: behaviour::AnswerForm,
-) -> target::StandInTarget {
-    let node = fleet.instance("node-1").addresses["target"];
-    let name = name.parse().expect("it is a name");
-    let service = "registru".parse().expect("it is a name");
-    let behaviour = behaviour::StandInBehaviour {
-        answer,
-        ..behaviour::StandInBehaviour::default()
-    };
-    let settings = settings::StandInSettings::builder(name, service, node)
-        .lease(Duration::from_secs(20))
-        .version(version.parse().ok())
-        .behaviour(behaviour)
-        .build();
-    let started = target::StandInTarget::start(settings).await;
-    started.expect("loopback has a free port")
-}
-
 /// Starts the targets of a version.
 async fn versions(
     fleet: &mut fleet::Fleet,
@@ -47,7 +26,14 @@
 ) -> Vec<target::StandInTarget> {
     let mut targets = Vec::new();
     for name in names {
-        targets.push(version(fleet, (name, text), answer).await);
+        let kind = support::StandInKind {
+            behaviour: behaviour::StandInBehaviour {
+                answer,
+                ..behaviour::StandInBehaviour::default()
+            },
+            version: Some(text),
+        };
+        targets.push(support::stand_in_of(fleet, "node-1", name, kind).await);
     }
     targets
 }
--- a/tests/all/soak.rs
+++ b/tests/all/soak.rs
@@ -31,6 +31,8 @@
 /// Entries after which a control writes a snapshot aside: few, so that a folder in the way of it stands
 /// for a disk that refuses.
 const SNAPSHOT_ENTRIES: u64 = 16;
+/// Time that a roll-out is given, in milliseconds.
+const ROLLOUT_MS: u64 = 4000;
 const FIXED_SEED: u64 = 7;
 /// Seeds that once failed. None so far.
 const KEPT_SEEDS: [u64; 0] = [];
@@ -52,6 +54,8 @@
     /// Versions seen of each life of a process.
     versions: IndexMap<(String, u32), u64>,
     names: usize,
+    /// Version of the catalogue that the last acknowledged order of a roll-out made.
+    ordered: u64,
 }
 
 /// One request after the other, each with a path of its own, until there is no node to ask.
@@ -107,6 +111,7 @@
             label: 0,
             versions: IndexMap::new(),
             names: 0,
+            ordered: 0,
         };
         soak.change_until_accepted().await;
         for node in NODES {
@@ -117,16 +122,64 @@
     }
 
     async fn add_target(&mut self, node: &str) {
+        self.add_version(node, None, behaviour::AnswerForm::Whole)
+            .await;
+    }
+
+    async fn add_version(
+        &mut self,
+        node: &str,
+        version: Option<&str>,
+        answer: behaviour::AnswerForm,
+    ) {
         self.names += 1;
         let name = format!("target-{}", self.names);
         let behaviour = behaviour::StandInBehaviour {
             latency_ms: 10,
+            answer,
             ..behaviour::StandInBehaviour::default()
         };
-        let target = support::stand_in_with(&mut self.fleet, node, &name, behaviour).await;
+        let kind = support::StandInKind { behaviour, version };
+        let target = support::stand_in_of(&mut self.fleet, node, &name, kind).await;
         self.targets.push(target);
     }
 
+    /// Orders a roll-out to a version of its own, good or bad, beside whatever else goes on.
+    async fn roll_out(&mut self) {
+        let version = format!("v{}", self.names);
+        let answer = if self.random.random_bool(0.5) {
+            behaviour::AnswerForm::Whole
+        } else {
+            behaviour::AnswerForm::Failing
+        };
+        let order = json!({"service": "registru", "to": version, "within_ms": ROLLOUT_MS});
+        let request = json!({"change_id": format!("order-{version}"), "expects": 0,
+                             "rollout": {"start": order}});
+        let control = self.pick(&CONTROLS);
+        for node in NODES {
+            self.add_version(node, Some(&version), answer).await;
+        }
+        let answer = time::timeout(Duration::from_secs(8), self.fleet.change(control, &request));
+        if let Ok(Some((200, receipt))) = answer.await {
+            self.ordered = receipt["version"].as_u64().expect("a receipt has one");
+        }
+    }
+
+    /// The last acknowledged order, or a later one, is known at every control and over.
+    async fn wait_rolled_out(&self) {
+        if self.ordered == 0 {
+            return;
+        }
+        for control in CONTROLS {
+            wait::until("the end of a roll-out", || async {
+                let latest = self.fleet.read(control, "/v1/rollouts/registru").await?;
+                let is_over = ["succeeded", "rolled_back"].contains(&latest["phase"].as_str()?);
+                (latest["order"].as_u64()? >= self.ordered && is_over).then_some(())
+            })
+            .await;
+        }
+    }
+
     fn publish_nodes(&mut self) {
         let mut list = Vec::new();
         for node in NODES {
@@ -153,7 +206,7 @@
     }
 
     async fn fault(&mut self) {
-        match self.random.random_range(0..11) {
+        match self.random.random_range(0..13) {
             0 => self.restart_node(false).await,
             1 => self.restart_node(true).await,
             2 => {
@@ -173,6 +226,7 @@
             6 => self.part(proxy::FaultRule::Cut).await,
             7 | 8 => self.refuse_writes().await,
             9 => self.empty_disk().await,
+            10 | 11 => self.roll_out().await,
             _ => self.change().await,
         }
     }
@@ -307,6 +361,7 @@
             })
             .await;
         }
+        self.wait_rolled_out().await;
         for node in NODES {
             support::wait_routed(&self.fleet, node).await;
         }
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -39,13 +39,35 @@
     node: &str,
     name: &str,
     behaviour: behaviour::StandInBehaviour,
+) -> target::StandInTarget {
+    let kind = StandInKind {
+        behaviour,
+        version: None,
+    };
+    stand_in_of(fleet, node, name, kind).await
+}
+
+/// What a stand-in is like.
+pub(crate) struct StandInKind<'a> {
+    pub(crate) behaviour: behaviour::StandInBehaviour,
+    /// Version of its software that it tells.
+    pub(crate) version: Option<&'a str>,
+}
+
+/// A stand-in of the service `registru` with a behaviour and a version of its own.
+pub(crate) async fn stand_in_of(
+    fleet: &mut fleet::Fleet,
+    node: &str,
+    name: &str,
+    kind: StandInKind<'_>,
 ) -> target::StandInTarget {
     let node = fleet.instance(node).addresses["target"];
     let name = name.parse().expect("it is a name");
     let service = "registru".parse().expect("it is a name");
     let settings = settings::StandInSettings::builder(name, service, node)
         .lease(Duration::from_secs(10))
-        .behaviour(behaviour)
+        .version(kind.version.and_then(|version| version.parse().ok()))
+        .behaviour(kind.behaviour)
         .build();
     target::StandInTarget::start(settings)
         .await
