--- a/crates/engine/src/rollout.rs
+++ b/crates/engine/src/rollout.rs
@@ -315,7 +315,11 @@
         slots,
         nodes,
         behind,
-        present_in_flight: evidence.present_in_flight(&entry.to),
+        present_in_flight: evidence.present_in_flight(
+            &entry.to,
+            known.phase_seen + plan::SETTLE_TIME,
+            state.now,
+        ),
     }
 }
 
--- a/crates/engine/src/rollout/evidence.rs
+++ b/crates/engine/src/rollout/evidence.rs
@@ -15,6 +15,9 @@
 /// Groups that the new version's targets other than canaries are judged in.
 const RESERVE_GROUPS: u64 = 4;
 
+/// Silence after which a target's node is taken to be gone.
+const SILENT_TIME: Duration = Duration::from_secs(3);
+
 /// The latest tally of one target.
 #[derive(Debug, Clone)]
 struct HeldTally {
@@ -115,11 +118,24 @@
         self.judge.finding()
     }
 
-    /// Calls at targets of other versions than the new one, where their nodes were heard.
-    pub fn present_in_flight(&self, to: &ids::SoftwareVersion) -> u32 {
+    /// Calls at targets of other versions than the new one, as their nodes told after `since`. One that was
+    /// not heard since then may have one, unless it has been silent for long.
+    pub fn present_in_flight(
+        &self,
+        to: &ids::SoftwareVersion,
+        since: time::MonotonicTime,
+        now: time::MonotonicTime,
+    ) -> u32 {
         let is_present = |held: &&HeldTally| held.latest.version.as_ref() != Some(to);
         let present = self.targets.values().filter(is_present);
-        present.map(|held| held.latest.in_flight).sum()
+        let in_flight = |held: &HeldTally| {
+            if held.heard > since {
+                held.latest.in_flight
+            } else {
+                u32::from(now.since(held.heard) < SILENT_TIME)
+            }
+        };
+        present.map(in_flight).sum()
     }
 
     /// Runs by version.
--- a/crates/engine/src/rollout/plan.rs
+++ b/crates/engine/src/rollout/plan.rs
@@ -22,7 +22,7 @@
 /// Time before the limit at which the roll-out ends, one way or the other.
 const LAST_MARGIN: Duration = Duration::from_millis(500);
 /// Time that all calls go to the new version before the old targets may stop.
-const SETTLE_TIME: Duration = Duration::from_millis(500);
+pub(super) const SETTLE_TIME: Duration = Duration::from_millis(500);
 /// Slots that the new version must have of those of the old one.
 const ENOUGH_SLOTS: f64 = 0.8;
 /// Part of the nodes that may still be on their way to the last step when the time is over.
--- a/crates/engine/src/rollout/tally.rs
+++ b/crates/engine/src/rollout/tally.rs
@@ -9,7 +9,7 @@
 
 use crate::{calls, event, reducer};
 
-/// Time between two reports of a target of the new version.
+/// Time between two reports of a target of the new version, and of all once calls have left the old one.
 const COMING_PERIOD: Duration = Duration::from_millis(250);
 /// Time between two reports of another target: there are many more of them.
 const PRESENT_PERIOD: Duration = Duration::from_millis(1000);
@@ -112,8 +112,14 @@
     begin_tallies(state);
     let now = state.now;
     let incarnation = state.settings.identity.incarnation;
+    let in_force = std::sync::Arc::clone(&state.dissemination.in_force);
+    // Once all calls have moved, the leader waits for old targets to have none left.
+    let is_leaving = |tally: &OwnTally| {
+        let entry = in_force.rollout(&tally.service);
+        entry.is_some_and(|entry| entry.phase == rollout::RolloutPhase::Switched)
+    };
     let is_due = |tally: &OwnTally| {
-        let period = if tally.is_new {
+        let period = if tally.is_new || is_leaving(tally) {
             COMING_PERIOD
         } else {
             PRESENT_PERIOD
--- a/crates/engine/tests/rollout.rs
+++ b/crates/engine/tests/rollout.rs
@@ -5,10 +5,10 @@
 use hazeltiller_catalogue::rollout;
 use hazeltiller_engine::{
     calls,
-    rollout::{cohort, plan, tally, verdict},
+    rollout::{cohort, evidence, plan, tally, verdict},
     routing::table,
 };
-use hazeltiller_units::ids;
+use hazeltiller_units::{ids, time};
 use hazeltiller_wire::rollout as wire;
 
 const WITHIN: Duration = Duration::from_secs(12);
@@ -287,3 +287,33 @@
     let runs: Vec<u32> = table.iter().map(|(_, _, tally)| tally.answered).collect();
     assert_eq!(runs, [1]);
 }
+
+fn tally(target: &str, sequence: u64, in_flight: u32) -> wire::TargetTally {
+    wire::TargetTally {
+        service: name("registru"),
+        order: ids::CatalogueVersion(7),
+        target: target.parse().expect("it is a name"),
+        version: Some(version("v1")),
+        stamp: (ids::IncarnationNumber(1), sequence),
+        in_flight,
+        routes: Vec::new(),
+    }
+}
+
+#[test]
+fn stale_report_not_trusted() {
+    let at = |millis: u64| time::MonotonicTime(millis * 1000);
+    let mut evidence = evidence::RolloutEvidence::default();
+    evidence.take(tally("t-1", 1, 0), at(900));
+    let left = |evidence: &evidence::RolloutEvidence, now| {
+        evidence.present_in_flight(&version("v2"), at(1000), at(now))
+    };
+    assert_eq!(left(&evidence, 1200), 1, "it may have got a call since");
+    evidence.take(tally("t-1", 2, 2), at(1300));
+    assert_eq!(left(&evidence, 1400), 2);
+    evidence.take(tally("t-1", 3, 0), at(1600));
+    assert_eq!(left(&evidence, 1700), 0);
+    evidence.take(tally("t-2", 1, 4), at(950));
+    assert_eq!(left(&evidence, 1700), 1);
+    assert_eq!(left(&evidence, 9000), 0, "its node is gone");
+}
