Whole catalogues are encoded and compressed once for all that they are sent to

A control that feeds a data centre after a loss of power copied, encoded and compressed the same catalogue for each node: 2.0 + 2.3 ms of a core at 1,814 entries (release build), of which it has 0.15. Now once a version.

--- a/crates/engine/src/dissemination.rs
+++ b/crates/engine/src/dissemination.rs
@@ -83,6 +83,8 @@
     pulls: pull::PullState,
     reported: report::SentReport,
     snapshots: Vec<(SocketAddr, time::MonotonicTime)>,
+    /// The version in force as it was last sent whole.
+    packed: Option<(ids::StateDigest, wire::PackedCatalogue)>,
 }
 
 impl DisseminationState {
@@ -99,6 +101,19 @@
         }
     }
 
+    /// The version in force, packed for sending.
+    fn packed(&mut self) -> wire::PackedCatalogue {
+        let digest = self.in_force.digest;
+        match &self.packed {
+            Some((known, packed)) if *known == digest => packed.clone(),
+            _ => {
+                let packed = wire::PackedCatalogue::pack(&self.in_force);
+                self.packed = Some((digest, packed.clone()));
+                packed
+            }
+        }
+    }
+
     /// The version in force.
     pub fn version(&self) -> ids::CatalogueVersion {
         self.in_force.version
@@ -171,7 +186,7 @@
         }
         wire::DisseminationMessage::Delta(delta) => version::take_delta(state, from, delta, output),
         wire::DisseminationMessage::Snapshot(snapshot) => {
-            version::take_snapshot(state, from, snapshot, output);
+            version::take_snapshot(state, from, &snapshot, output);
         }
         wire::DisseminationMessage::Pull(pull) => feed::take_pull(state, from, pull, output),
         wire::DisseminationMessage::FloorQuestion => floor::answer(state, from, output),
--- a/crates/engine/src/dissemination/feed.rs
+++ b/crates/engine/src/dissemination/feed.rs
@@ -256,8 +256,8 @@
         return false;
     }
     snapshots.push((to, now));
-    let snapshot = state.dissemination.in_force.as_ref().clone();
-    dissemination::send(output, to, wire::DisseminationMessage::Snapshot(snapshot));
+    let packed = state.dissemination.packed();
+    dissemination::send(output, to, wire::DisseminationMessage::Snapshot(packed));
     true
 }
 
--- a/crates/engine/src/dissemination/version.rs
+++ b/crates/engine/src/dissemination/version.rs
@@ -137,19 +137,24 @@
 pub fn take_snapshot(
     state: &mut reducer::EngineState,
     from: &wire_membership::PeerIdentity,
-    snapshot: catalogue_state::CatalogueState,
+    packed: &wire::PackedCatalogue,
     output: &mut event::ReducerOutput,
 ) {
     if state.settings.identity.is_control || !state.dissemination.floor.is_known() {
         return;
     }
-    if snapshot.version <= state.dissemination.version() {
+    if packed.version <= state.dissemination.version() {
         return;
     }
-    if snapshot.is_sound() && check::check_entries(&snapshot.entries).is_empty() {
-        put_in_force(state, snapshot, None, output);
-    } else {
-        report_unsound(state, from, output);
+    match packed.unpack() {
+        Ok(snapshot)
+            if snapshot.version == packed.version
+                && snapshot.is_sound()
+                && check::check_entries(&snapshot.entries).is_empty() =>
+        {
+            put_in_force(state, snapshot, None, output);
+        }
+        _ => report_unsound(state, from, output),
     }
 }
 
--- a/crates/engine/tests/dissemination.rs
+++ b/crates/engine/tests/dissemination.rs
@@ -142,7 +142,7 @@
     dangling
         .entries
         .retain(|key, _| key.kind.to_string() != "service");
-    let message = wire::DisseminationMessage::Snapshot(dangling);
+    let message = wire::DisseminationMessage::Snapshot(wire::PackedCatalogue::pack(&dangling));
     fleet.tell(&name, received(parent.clone(), message));
     fleet.run(Duration::from_secs(1));
     assert_eq!(
@@ -183,7 +183,8 @@
         received(parent.clone(), wire::DisseminationMessage::Delta(delta))
     };
     let snapshot = |index: usize| {
-        let message = wire::DisseminationMessage::Snapshot(states[index].clone());
+        let message =
+            wire::DisseminationMessage::Snapshot(wire::PackedCatalogue::pack(&states[index]));
         received(parent.clone(), message)
     };
     // A snapshot overtakes deltas, an old snapshot comes late, a delta overlaps what is held.
--- a/crates/wire/src/dissemination.rs
+++ b/crates/wire/src/dissemination.rs
@@ -6,7 +6,30 @@
 use hazeltiller_units::ids;
 use serde::{Deserialize, Serialize};
 
-use crate::membership;
+use crate::{codec, membership};
+
+/// A whole catalogue, encoded and compressed once for all that it is sent to.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PackedCatalogue {
+    /// Its version.
+    pub version: ids::CatalogueVersion,
+    body: Vec<u8>,
+}
+
+impl PackedCatalogue {
+    /// Packs a catalogue.
+    pub fn pack(catalogue: &state::CatalogueState) -> Self {
+        Self {
+            version: catalogue.version,
+            body: codec::encode_body(catalogue),
+        }
+    }
+
+    /// The catalogue; its digest is still to be checked.
+    pub fn unpack(&self) -> Result<state::CatalogueState, codec::CodecError> {
+        codec::decode_body(&self.body)
+    }
+}
 
 /// What a whole subtree of the relay tree has in force.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -85,7 +108,7 @@
     /// The changes after the receiver's version.
     Delta(delta::CatalogueDelta),
     /// A whole catalogue.
-    Snapshot(state::CatalogueState),
+    Snapshot(PackedCatalogue),
     /// A question for a delta or a snapshot.
     Pull(VersionPull),
     /// A process without memory asks how old the latest version is at least.
--- a/crates/wire/tests/decoders.rs
+++ b/crates/wire/tests/decoders.rs
@@ -175,13 +175,14 @@
         steps: vec![step],
         digest: state.digest,
     };
+    let packed = dissemination::PackedCatalogue::pack(&state);
     let clock = message::HybridTime {
         wall: time::WallTime(u64::MAX),
         count: u32::MAX,
     };
     [
         message::PeerMessage::Dissemination(dissemination::DisseminationMessage::Delta(delta)),
-        message::PeerMessage::Dissemination(dissemination::DisseminationMessage::Snapshot(state)),
+        message::PeerMessage::Dissemination(dissemination::DisseminationMessage::Snapshot(packed)),
         message::PeerMessage::Membership(membership::MembershipMessage::Records(vec![record; 20])),
     ]
     .map(|message| message::PeerFrame { clock, message })
