Roll-outs: a repeated order is answered only to those who may order one

Whoever held no known token and knew an order's id, or its content, was given its receipt. A plain change has always been refused first. rollouts::stranger_told_nothing is red without the change (accepted instead of HZ2007). Calls of the platform come as the administrator and do not pass here.

--- a/crates/engine/src/replication/orders.rs
+++ b/crates/engine/src/replication/orders.rs
@@ -23,6 +23,7 @@
     request: &rollout::RolloutRequest,
 ) -> Result<Judgement, ProposalRefusal> {
     let catalogue = &head.catalogue;
+    acceptance::authorize(catalogue, proposal.author, &change::ChangeSet::default())?;
     let mut change_id = proposal.request.change_id.clone();
     if let Some(accepted) = head.accepted(&change_id) {
         return if accepted.content == proposal.content {
--- a/crates/engine/tests/replication/network.rs
+++ b/crates/engine/tests/replication/network.rs
@@ -333,10 +333,20 @@
     }
 
     pub(crate) fn submit(&mut self, index: usize, request: change::ChangeRequest) -> u64 {
+        self.submit_as(index, request, replication::ChangeAuthor::Administrator)
+    }
+
+    /// The same by another author.
+    pub(crate) fn submit_as(
+        &mut self,
+        index: usize,
+        request: change::ChangeRequest,
+        author: replication::ChangeAuthor,
+    ) -> u64 {
         self.proposals += 1;
         let proposal = replication::ChangeProposal {
             number: replication::ProposalNumber(self.proposals),
-            author: replication::ChangeAuthor::Administrator,
+            author,
             content: change::content_digest(&request),
             request,
             at_ms: self.proposals,
--- a/crates/engine/tests/replication/rollouts.rs
+++ b/crates/engine/tests/replication/rollouts.rs
@@ -220,3 +220,14 @@
     assert_eq!(entry.phase, rollout::RolloutPhase::RolledBack);
     assert_eq!(entry.reason, "aborted by an operator");
 }
+
+#[test]
+fn stranger_told_nothing() {
+    let (mut network, leader) = group();
+    submit(&mut network, leader, order("v2", WITHIN_MS));
+    let stranger = replication::ChangeAuthor::Holder(ids::StateDigest([7; 32]));
+    let number = network.submit_as(leader, order("v2", WITHIN_MS), stranger);
+    network.settle(10);
+    let expected = Some(code::ResultCode::OperatorUnknown);
+    assert_eq!(refusal(&network, number), expected);
+}
