--- a/crates/engine/src/dissemination/feed.rs
+++ b/crates/engine/src/dissemination/feed.rs
@@ -23,8 +23,7 @@
 /// A child is dropped after silence of this many keepalives.
 const LEASE_KEEPALIVES: u32 = 3;
 /// Time for which a whole catalogue to a node that is not fed from here counts as on its way: such a one
-/// does not say when it has it. After a loss of power of all, five of fourteen nodes had to wait for up to
-/// 1.3 s behind others that had theirs for long.
+/// does not say when it has it.
 const STRANGER_TIME: Duration = Duration::from_millis(250);
 /// After this many keepalives without effect something is sent again.
 const RESEND_KEEPALIVES: u32 = 1;
--- a/crates/engine/src/replication/election.rs
+++ b/crates/engine/src/replication/election.rs
@@ -12,8 +12,7 @@
 
 /// Shortest and longest time before the first candidacy of a replica that has just started, in parts of
 /// `election_ms`. It has heard of no leader, and a pre-vote binds nobody where there is one, so there is
-/// nothing to wait for but that the others start too: by default 0.1 to 0.25 s, where a running one waits
-/// for 0.5 to 1 s. A group whose machines all lost power had a leader 0.25 s after its start in one played loss.
+/// nothing to wait for but that the others start too.
 const FIRST_WAIT_PARTS: (u64, u64) = (5, 2);
 
 impl ReplicationState {
--- a/crates/engine/src/rollout.rs
+++ b/crates/engine/src/rollout.rs
@@ -29,9 +29,6 @@
 const JUDGE_PERIOD: Duration = Duration::from_millis(250);
 /// Time after which a step that was proposed and did not come into force is proposed again.
 const STEP_PATIENCE: Duration = Duration::from_secs(1);
-/// Part of the calls on trial that go to the canary targets; the others are spread over the rest
-/// of the new version's, so that each of them is seen.
-pub const CANARY_PART: f64 = 0.8;
 
 /// What this process knows of a service's roll-out beside its entry.
 #[derive(Debug, Clone)]
@@ -176,7 +173,7 @@
             let is_tried = state.random.random_bool(share.clamp(0.0, 1.0));
             if !is_tried || !is_guided(state, service, within_ms) {
                 cohort::CallCohort::Present
-            } else if state.random.random_bool(CANARY_PART) {
+            } else if state.random.random_bool(cohort::CANARY_PART) {
                 cohort::CallCohort::Canary
             } else {
                 cohort::CallCohort::Reserve
--- a/crates/engine/src/rollout/cohort.rs
+++ b/crates/engine/src/rollout/cohort.rs
@@ -14,8 +14,9 @@
 const CANARIES_PER_TARGET: f64 = 0.055;
 /// Fewest canary targets: the fault of one machine has to be told from one of the version.
 const FEWEST_CANARIES: usize = 2;
-/// Part of the calls on trial that the canary targets take.
-const CANARY_PART: f64 = super::CANARY_PART;
+/// Part of the calls on trial that go to the canary targets; the others are spread over the rest
+/// of the new version's, so that each of them is seen.
+pub const CANARY_PART: f64 = 0.8;
 
 /// A target's part in a roll-out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
--- a/crates/engine/src/rollout/verdict.rs
+++ b/crates/engine/src/rollout/verdict.rs
@@ -299,17 +299,17 @@
         group: u64,
         route: &ids::EntryName,
         counts: &RunCounts,
-        beside: Beside,
+        context: RunContext,
     ) {
         let present = self.present.get(route).cloned().unwrap_or_default();
         let margins = |margins: ShareMargins| ShareMargins {
-            sound: margins.sound + beside.margin,
-            bad: margins.bad + beside.margin,
+            sound: margins.sound + context.margin,
+            bad: margins.bad + context.margin,
         };
         let mut weigh = |kind, (runs, bad): (f64, f64), present_share, bounds| {
             let routes = self.sums.entry((group, kind)).or_default();
             let sum = routes.entry(route.clone()).or_default();
-            sum.weigh(runs, bad, present_share, margins(bounds), beside.weight);
+            sum.weigh(runs, bad, present_share, margins(bounds), context.weight);
         };
         let failed = (counts.answered, counts.failed);
         let failing = present.failing_share();
@@ -371,7 +371,7 @@
 
 /// What a group's runs are weighed beside.
 #[derive(Debug, Clone, Copy)]
-struct Beside {
+struct RunContext {
     margin: f64,
     weight: f64,
 }
@@ -385,11 +385,11 @@
         let is_alone = present_runs < coming_runs;
         for ((group, route), counts) in &window.coming {
             *self.group_runs.entry(*group).or_default() += counts.answered;
-            let beside = Beside {
+            let context = RunContext {
                 margin: if is_alone { ALONE_MARGIN } else { 0.0 },
                 weight: if runs_once(route) { ONCE_WEIGHT } else { 1.0 },
             };
-            self.weigh_one(*group, route, counts, beside);
+            self.weigh_one(*group, route, counts, context);
         }
     }
 
--- a/crates/engine/tests/rollout.rs
+++ b/crates/engine/tests/rollout.rs
@@ -104,7 +104,7 @@
     assert_eq!(canaries, 3);
     assert_eq!(count(&all, cohort::TargetCohort::Reserve), 53);
     assert_eq!(count(&all, cohort::TargetCohort::Present), 56);
-    let of_canary = share * hazeltiller_engine::rollout::CANARY_PART / canaries as f64;
+    let of_canary = share * cohort::CANARY_PART / canaries as f64;
     let of_present = 1.0 / (56.0 + 3.0);
     assert!(
         (of_canary - of_present).abs() < 1e-9,
--- a/crates/testkit/src/rollouts.rs
+++ b/crates/testkit/src/rollouts.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use hazeltiller_catalogue::rollout;
-use hazeltiller_engine::rollout::{CANARY_PART, cohort, plan, verdict};
+use hazeltiller_engine::rollout::{cohort, plan, verdict};
 use hazeltiller_units::ids;
 use hazeltiller_wire::rollout as wire;
 use rand::{RngExt, SeedableRng};
@@ -217,7 +217,7 @@
         let canaries = cohort::canary_count(self.scene.targets) as f64;
         match phase {
             rollout::RolloutPhase::Trial => {
-                let most = canaries / (targets + canaries) / CANARY_PART;
+                let most = canaries / (targets + canaries) / cohort::CANARY_PART;
                 most.min(TRIAL_SHARE)
             }
             rollout::RolloutPhase::Widening => 0.3,
@@ -247,7 +247,7 @@
             let place_of_route = usize::from(!is_first);
             let route = ROUTES[place_of_route];
             let is_new = self.random.random_bool(share);
-            let place = if is_new && is_trial && self.random.random_bool(CANARY_PART) {
+            let place = if is_new && is_trial && self.random.random_bool(cohort::CANARY_PART) {
                 self.random.random_range(0..canaries)
             } else {
                 self.random.random_range(0..self.scene.targets)
