Roll-outs: runs across a target's announcements count, starved canaries hold the move up

Cause: each announcement of a target set the end of its warm-up anew, to the moment of the announcement, so a run that lasted across one, every 1.5 s, was taken for one of a cold target and left out. Slow runs are the ones that do: of 55 runs at canaries 48 were given up by their callers, and hardly one was weighed. announcements::warm_time_kept was red before. The model missed it since it hands the judge runs, not announcements.

Ruled out first, and mended beside it, since the search showed both holes: a version whose canaries are ejected shows few runs (now unhealthy targets convict it, rollout::ejected_canaries_convict), and one that was hardly seen got more calls (now it must have been watched: rollout::unseen_not_widened, starved_canaries_not_widened).

--- a/crates/engine/src/membership/own.rs
+++ b/crates/engine/src/membership/own.rs
@@ -62,7 +62,6 @@
         });
     }
     let lapses = state.now + announcement.lease;
-    let warm_at = state.now + announcement.warm_in;
     let (record, sequence) = (announcement.record, announcement.sequence);
     let name = record.name.clone();
     if sequence.is_some() {
@@ -71,6 +70,11 @@
     let known = state.membership.targets.get(&name);
     let is_restart = known.is_some_and(|known| known.record.incarnation < record.incarnation);
     let is_news = known.is_none_or(|known| known.record != record);
+    // Each announcement tells the time left; the earliest end holds within a life.
+    let told_warm = state.now + announcement.warm_in;
+    let warm_at = known
+        .filter(|_| !is_restart)
+        .map_or(told_warm, |known| known.warm_at.min(told_warm));
     let is_ready = record.state == wire::TargetState::Ready;
     if is_restart {
         output.note(timeline::TimelineEvent::TargetRestarted {
--- a/crates/engine/src/rollout.rs
+++ b/crates/engine/src/rollout.rs
@@ -305,10 +305,12 @@
     let slots = cohort::SlotCount::of(state, entry);
     plan::RolloutSituation {
         phase: entry.phase,
+        share: f64::from(entry.share_permille) / f64::from(rollout::WHOLE_PERMILLE),
         within: Duration::from_millis(u64::from(entry.within_ms)),
         elapsed: known.is_from_start.then(|| state.now.since(known.seen)),
         in_phase: state.now.since(known.phase_seen),
-        finding: evidence.finding(),
+        finding: evidence.finding(&entry.to),
+        watched: evidence.watched(),
         slots,
         nodes,
         behind,
--- a/crates/engine/src/rollout/evidence.rs
+++ b/crates/engine/src/rollout/evidence.rs
@@ -8,13 +8,20 @@
 use indexmap::IndexMap;
 
 use super::{
-    cohort,
+    cohort, plan,
     verdict::{self, VersionJudge as _},
 };
 
 /// Groups that the new version's targets other than canaries are judged in.
 const RESERVE_GROUPS: u64 = 4;
 
+/// Runs from which on a target's health says something.
+const LEAST_TARGET_RUNS: u64 = 5;
+/// Unhealthy targets that convict a version, and by how much their share must be above the old
+/// version's.
+const FEWEST_UNHEALTHY: u64 = 2;
+const UNHEALTHY_EXCESS: f64 = 0.5;
+
 /// Silence after which a target's node is taken to be gone.
 const SILENT_TIME: Duration = Duration::from_secs(3);
 
@@ -28,12 +35,24 @@
     heard: time::MonotonicTime,
 }
 
+impl HeldTally {
+    /// Answered runs and those that were given up.
+    fn runs(&self) -> u64 {
+        let routes = self.latest.routes.iter();
+        let of_route = |route: &wire::RouteTally| {
+            u64::from(route.answered) + route.given_up.iter().copied().map(u64::from).sum::<u64>()
+        };
+        routes.map(of_route).sum()
+    }
+}
+
 /// Evidence of one roll-out.
 #[derive(Debug, Clone, Default)]
 pub struct RolloutEvidence {
     order: ids::CatalogueVersion,
     targets: IndexMap<ids::TargetName, HeldTally>,
     judge: verdict::SequentialJudge,
+    watched: plan::WatchedRuns,
 }
 
 /// Runs of one version, as operators read them.
@@ -111,11 +130,43 @@
                 if route.idempotent == Some(false))
         };
         self.judge.weigh(&window, &runs_once);
+        self.watched.note(&window);
+    }
+
+    /// How much of the new version was seen.
+    pub fn watched(&self) -> plan::WatchedRuns {
+        self.watched
     }
 
     /// What speaks against the new version, if enough does.
-    pub fn finding(&self) -> Option<verdict::RolloutFinding> {
-        self.judge.finding()
+    pub fn finding(&self, to: &ids::SoftwareVersion) -> Option<verdict::RolloutFinding> {
+        self.judge.finding().or_else(|| self.unhealthy(to))
+    }
+
+    /// The finding that many targets of the new version are unhealthy and few of the old one: calls
+    /// are kept away from such targets, so that their runs would show it late.
+    fn unhealthy(&self, to: &ids::SoftwareVersion) -> Option<verdict::RolloutFinding> {
+        let count = |is_new: bool| {
+            let of_version = self.targets.values().filter(|held| {
+                let version = held.latest.version.as_ref();
+                (version == Some(to)) == is_new && held.runs() >= LEAST_TARGET_RUNS
+            });
+            let (failing, sound): (Vec<_>, Vec<_>) =
+                of_version.partition(|held| held.latest.is_failing);
+            (failing.len() as u64, (failing.len() + sound.len()) as u64)
+        };
+        let (bad, weighed) = count(true);
+        let (bad_present, present) = count(false);
+        let present_share = bad_present as f64 / present.max(1) as f64;
+        let excess = bad as f64 / weighed.max(1) as f64 - present_share;
+        let is_found = bad >= FEWEST_UNHEALTHY && excess >= UNHEALTHY_EXCESS;
+        is_found.then_some(verdict::RolloutFinding {
+            kind: verdict::FaultKind::Unhealthy,
+            route: None,
+            weighed,
+            bad,
+            present_share,
+        })
     }
 
     /// Calls at targets of other versions than the new one, as their nodes told after `since`. One that was
--- a/crates/engine/src/rollout/plan.rs
+++ b/crates/engine/src/rollout/plan.rs
@@ -28,11 +28,56 @@
 /// Part of the nodes that may still be on their way to the last step when the time is over.
 const STRAGGLERS: f64 = 0.1;
 
+/// Time and runs for which a version was watched, at the least, before it gets more calls.
+const LEAST_WATCH: Duration = Duration::from_secs(2);
+const LEAST_WATCH_PART: f64 = 0.125;
+const LEAST_RUNS: f64 = 30.0;
+/// Part of its share of the calls that it must have had: less means that its targets take none.
+const LEAST_OF_SHARE: f64 = 0.25;
+/// The same for a service with few calls.
+const LONG_WATCH_PART: f64 = 0.33;
+const FEWEST_RUNS: f64 = 5.0;
+
+/// Runs of the new version that were weighed.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct WatchedRuns {
+    /// How many.
+    pub runs: f64,
+    /// Runs of the old version beside them.
+    pub present: f64,
+    /// Time since the first.
+    pub span: Duration,
+}
+
+impl WatchedRuns {
+    /// Adds what a judge has weighed.
+    pub fn note(&mut self, window: &verdict::RunWindow) {
+        let counts = window.coming.values();
+        self.runs += counts.map(|counts| counts.answered).sum::<f64>();
+        if self.runs > 0.0 {
+            let present = window.present.values();
+            self.present += present.map(|counts| counts.answered).sum::<f64>();
+            self.span += window.span;
+        }
+    }
+
+    /// Whether it is enough to judge by, given the time of the roll-out and the share of the calls.
+    fn is_enough(&self, within: Duration, share: f64) -> bool {
+        let short = within.mul_f64(LEAST_WATCH_PART).max(LEAST_WATCH);
+        let long = within.mul_f64(LONG_WATCH_PART);
+        let is_long_enough = self.span >= short && self.runs >= LEAST_RUNS
+            || self.span >= long && self.runs >= FEWEST_RUNS;
+        is_long_enough && self.runs >= self.present * share * LEAST_OF_SHARE
+    }
+}
+
 /// What the next step is decided on.
 #[derive(Debug, Clone)]
 pub struct RolloutSituation {
     /// Its phase.
     pub phase: rollout::RolloutPhase,
+    /// Largest share of the calls that the new version takes in it.
+    pub share: f64,
     /// Time from the order to the limit.
     pub within: Duration,
     /// Time since the order; absent where this leader cannot know it.
@@ -41,6 +86,8 @@
     pub in_phase: Duration,
     /// What speaks against the new version.
     pub finding: Option<verdict::RolloutFinding>,
+    /// How much of the new version was seen.
+    pub watched: WatchedRuns,
     /// Slots of both versions.
     pub slots: cohort::SlotCount,
     /// Nodes that are known.
@@ -75,7 +122,9 @@
     let span = move_time(situation.within);
     match situation.phase {
         _ if left <= LAST_MARGIN => Some(last_step(situation)),
-        rollout::RolloutPhase::Trial if left <= span && has_slots(situation) => {
+        rollout::RolloutPhase::Trial
+            if left <= span && has_slots(situation) && is_watched(situation) =>
+        {
             let reason = format!("nothing found against it in {:.1} s", elapsed.as_secs_f64());
             Some(RolloutStep {
                 phase: rollout::RolloutPhase::Widening,
@@ -109,6 +158,13 @@
     part.clamp(SHORTEST_MOVE, LONGEST_MOVE).min(within / 2)
 }
 
+/// Whether enough of the new version was seen. What it had on trial is held against the share of then.
+fn is_watched(situation: &RolloutSituation) -> bool {
+    let is_trial = situation.phase == rollout::RolloutPhase::Trial;
+    let share = if is_trial { situation.share } else { 0.0 };
+    situation.watched.is_enough(situation.within, share)
+}
+
 fn has_slots(situation: &RolloutSituation) -> bool {
     let wanted = f64::from(situation.slots.present) * ENOUGH_SLOTS;
     situation.slots.coming > 0 && f64::from(situation.slots.coming) >= wanted
@@ -128,6 +184,14 @@
             slots.coming, slots.present
         ));
     }
+    if !is_watched(situation) {
+        let watched = situation.watched;
+        return take_back(format!(
+            "only {:.0} of its runs were seen, over {:.1} s",
+            watched.runs,
+            watched.span.as_secs_f64()
+        ));
+    }
     take_back("it could not be brought to all nodes in its time".into())
 }
 
--- a/crates/engine/src/rollout/tally.rs
+++ b/crates/engine/src/rollout/tally.rs
@@ -7,7 +7,7 @@
 use hazeltiller_wire::rollout as wire;
 use indexmap::IndexMap;
 
-use crate::{calls, event, reducer};
+use crate::{calls, event, health, reducer};
 
 /// Time between two reports of a target of the new version, and of all once calls have left the old one.
 const COMING_PERIOD: Duration = Duration::from_millis(250);
@@ -142,6 +142,7 @@
     let mut tallies = Vec::new();
     for target in due {
         let in_flight = super::in_flight(state, &target);
+        let is_failing = health::is_failing(state, &target);
         let tally = &mut state.rollout.tallies.targets[&target];
         tally.sent = Some(now);
         tallies.push(wire::TargetTally {
@@ -151,6 +152,7 @@
             version: tally.version.clone(),
             stamp,
             in_flight,
+            is_failing,
             routes: tally.routes.values().cloned().collect(),
         });
     }
--- a/crates/engine/src/rollout/verdict.rs
+++ b/crates/engine/src/rollout/verdict.rs
@@ -152,6 +152,8 @@
     Failing,
     /// More of its runs are slow.
     Slow,
+    /// More of its targets are unhealthy; calls are kept away from those, so that they show few runs.
+    Unhealthy,
 }
 
 /// What speaks against a version.
@@ -159,30 +161,30 @@
 pub struct RolloutFinding {
     /// What is wrong.
     pub kind: FaultKind,
-    /// Route that shows it most.
-    pub route: ids::EntryName,
-    /// Runs of the new version that were weighed.
-    pub runs: u64,
-    /// Those of them that failed or were slow.
+    /// Route that shows it most; absent where whole targets do.
+    pub route: Option<ids::EntryName>,
+    /// Runs, or targets, of the new version that were weighed.
+    pub weighed: u64,
+    /// Those of them that failed, were slow or are unhealthy.
     pub bad: u64,
-    /// Share of the old version's runs of the route that did, in the same time.
+    /// The same share of the old version, in the same time.
     pub present_share: f64,
 }
 
 impl fmt::Display for RolloutFinding {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (bad, weighed) = (self.bad, self.weighed);
+        let percent = self.present_share * 100.0;
         let what = match self.kind {
             FaultKind::Failing => "failed",
             FaultKind::Slow => "took four times as long as the old version's median",
+            FaultKind::Unhealthy => "are unhealthy",
         };
-        write!(
-            f,
-            "{} of {} runs of route {} {what}, {:.0}% of the old version's",
-            self.bad,
-            self.runs,
-            self.route,
-            self.present_share * 100.0
-        )
+        match &self.route {
+            Some(route) => write!(f, "{bad} of {weighed} runs of route {route} {what}")?,
+            None => write!(f, "{bad} of {weighed} targets {what}")?,
+        }
+        write!(f, ", {percent:.0}% of the old version's")
     }
 }
 
@@ -361,8 +363,8 @@
         let (route, sum) = worst;
         Some(RolloutFinding {
             kind,
-            route: route.clone(),
-            runs: sum.runs as u64,
+            route: Some(route.clone()),
+            weighed: sum.runs as u64,
             bad: sum.bad as u64,
             present_share: sum.present_share,
         })
--- a/crates/engine/tests/announcements.rs
+++ b/crates/engine/tests/announcements.rs
@@ -39,7 +39,6 @@
     let record = wire_membership::TargetRecord {
         state,
         incarnation: ids::IncarnationNumber(life),
-        version: None,
         ..node::target(name, "registru", 1)
     };
     let announcement = membership::TargetAnnouncement {
@@ -236,3 +235,23 @@
     }
     assert_eq!(state_of(&node, "stranger"), None);
 }
+
+#[test]
+fn warm_time_kept() {
+    let mut node = started();
+    let warm_at = |node: &node::NodeReducer| {
+        let name: ids::TargetName = "one".parse().expect("it is a name");
+        node.state.membership.targets[&name].warm_at
+    };
+    announce_life(&mut node, "one", (1, 1), READY);
+    let first = warm_at(&node);
+    node.now = node.now + Duration::from_secs(1);
+    announce_life(&mut node, "one", (1, 2), READY);
+    assert_eq!(
+        warm_at(&node),
+        first,
+        "a run across an announcement began warm"
+    );
+    announce_life(&mut node, "one", (2, 1), READY);
+    assert_eq!(warm_at(&node), node.now, "a new life starts cold");
+}
--- a/crates/engine/tests/rollout.rs
+++ b/crates/engine/tests/rollout.rs
@@ -68,10 +68,16 @@
 fn situation(phase: rollout::RolloutPhase, elapsed: Duration) -> plan::RolloutSituation {
     plan::RolloutSituation {
         phase,
+        share: 0.06,
         within: WITHIN,
         elapsed: Some(elapsed),
         in_phase: elapsed,
         finding: None,
+        watched: plan::WatchedRuns {
+            runs: 500.0,
+            present: 8000.0,
+            span: elapsed,
+        },
         slots: cohort::SlotCount {
             present: 60,
             coming: 60,
@@ -89,8 +95,8 @@
 fn finding() -> verdict::RolloutFinding {
     verdict::RolloutFinding {
         kind: verdict::FaultKind::Failing,
-        route: name("issue"),
-        runs: 20,
+        route: Some(name("issue")),
+        weighed: 20,
         bad: 9,
         present_share: 0.01,
     }
@@ -296,6 +302,7 @@
         version: Some(version("v1")),
         stamp: (ids::IncarnationNumber(1), sequence),
         in_flight,
+        is_failing: false,
         routes: Vec::new(),
     }
 }
@@ -317,3 +324,72 @@
     assert_eq!(left(&evidence, 1700), 1);
     assert_eq!(left(&evidence, 9000), 0, "its node is gone");
 }
+
+#[test]
+fn unseen_not_widened() {
+    let trial = rollout::RolloutPhase::Trial;
+    let at = |seconds, runs, span| plan::RolloutSituation {
+        watched: plan::WatchedRuns {
+            runs,
+            present: runs * 16.0,
+            span: Duration::from_secs_f64(span),
+        },
+        ..situation(trial, Duration::from_secs_f64(seconds))
+    };
+    // Targets that have only just come, or that are still cold, have shown nothing.
+    assert_eq!(next_phase(&at(9.5, 0.0, 0.0)), None);
+    assert_eq!(next_phase(&at(9.5, 400.0, 1.0)), None);
+    assert_eq!(
+        next_phase(&at(9.5, 400.0, 2.5)),
+        Some(rollout::RolloutPhase::Widening)
+    );
+    // Of a service with few calls fewer runs do, after longer.
+    assert_eq!(next_phase(&at(9.5, 6.0, 3.0)), None);
+    assert_eq!(
+        next_phase(&at(9.5, 6.0, 5.0)),
+        Some(rollout::RolloutPhase::Widening)
+    );
+    let step = plan::next_step(&at(11.7, 12.0, 1.5)).expect("its time is over");
+    assert_eq!(step.phase, rollout::RolloutPhase::RolledBack);
+    assert_eq!(step.reason, "only 12 of its runs were seen, over 1.5 s");
+}
+
+#[test]
+fn starved_canaries_not_widened() {
+    let trial = rollout::RolloutPhase::Trial;
+    let starved = plan::RolloutSituation {
+        watched: plan::WatchedRuns {
+            runs: 60.0,
+            present: 8000.0,
+            span: Duration::from_secs(8),
+        },
+        ..situation(trial, Duration::from_secs_f64(9.5))
+    };
+    assert_eq!(next_phase(&starved), None);
+}
+
+#[test]
+fn ejected_canaries_convict() {
+    let mut evidence = evidence::RolloutEvidence::default();
+    let mut take = |target: &str, text: &str, is_failing| {
+        let route = wire::RouteTally {
+            answered: 9,
+            ..wire::RouteTally::new(name("issue"))
+        };
+        let told = wire::TargetTally {
+            version: Some(version(text)),
+            is_failing,
+            routes: vec![route],
+            ..tally(target, 1, 0)
+        };
+        evidence.take(told, time::MonotonicTime(1));
+        evidence.finding(&version("v2"))
+    };
+    for old in ["a", "b", "c", "d"] {
+        assert_eq!(take(old, "v1", old == "a"), None);
+    }
+    assert_eq!(take("e", "v2", true), None, "one machine may be at fault");
+    let found = take("f", "v2", true).expect("two of two are");
+    let text = "2 of 2 targets are unhealthy, 25% of the old version's";
+    assert_eq!(found.to_string(), text);
+}
--- a/crates/testkit/src/rollouts.rs
+++ b/crates/testkit/src/rollouts.rs
@@ -176,6 +176,7 @@
         let mut phase = rollout::RolloutPhase::Trial;
         let mut in_force = (phase, Duration::ZERO);
         let mut share = 0.0;
+        let mut watched = plan::WatchedRuns::default();
         while now < within {
             now += LOOK;
             let is_in_force = now >= in_force.1 + CONVERGENCE;
@@ -188,12 +189,15 @@
             }
             self.judge
                 .weigh(&window, &|route| route.as_str() == "issue");
+            watched.note(&window);
             let situation = plan::RolloutSituation {
                 phase,
+                share,
                 within,
                 elapsed: Some(now),
                 in_phase: now.saturating_sub(in_force.1),
                 finding: self.judge.finding(),
+                watched,
                 slots: cohort::SlotCount {
                     present: self.scene.targets as u32,
                     coming: self.scene.targets as u32,
--- a/crates/wire/src/rollout.rs
+++ b/crates/wire/src/rollout.rs
@@ -66,6 +66,8 @@
     pub stamp: (ids::IncarnationNumber, u64),
     /// Calls that run or wait at it now.
     pub in_flight: u32,
+    /// Whether its node holds it unhealthy, so that calls are kept away from it.
+    pub is_failing: bool,
     /// By route.
     pub routes: Vec<RouteTally>,
 }
