--- a/crates/catalogue/src/rollout.rs
+++ b/crates/catalogue/src/rollout.rs
@@ -71,7 +71,7 @@
     pub order: ids::CatalogueVersion,
     /// The version that calls move to.
     pub to: ids::SoftwareVersion,
-    /// Versions of the targets that were there when it was ordered.
+    /// Versions of the old targets, as far as the leader knew them at the last step.
     pub from: Vec<ids::SoftwareVersion>,
     /// Time from the order to its limit, in milliseconds.
     pub within_ms: u32,
@@ -94,6 +94,18 @@
             ..self.clone()
         }
     }
+
+    /// The same roll-out with these versions among the old ones. Whoever takes an order may not
+    /// have heard of all targets yet.
+    #[must_use]
+    pub fn with_old_versions(mut self, versions: Vec<ids::SoftwareVersion>) -> Self {
+        for version in versions {
+            if version != self.to && !self.from.contains(&version) {
+                self.from.push(version);
+            }
+        }
+        self
+    }
 }
 
 /// What an operator wants of a service's roll-out.
--- a/crates/engine/src/rollout.rs
+++ b/crates/engine/src/rollout.rs
@@ -279,9 +279,11 @@
             continue;
         }
         known.proposed = Some(now);
+        let elapsed = now.since(known.seen);
+        let next = entry.in_phase(step.phase, step.share_permille, step.reason);
         let step = replication::RolloutMove {
-            entry: entry.in_phase(step.phase, step.share_permille, step.reason),
-            elapsed: now.since(known.seen),
+            entry: next.with_old_versions(seen_versions(state, &entry.name)),
+            elapsed,
         };
         let steer = replication::ReplicationEvent::Steer(Box::new(step));
         output.follow(event::Event::Replication(steer));
@@ -322,6 +324,25 @@
     }
 }
 
+/// Versions of a service's targets that this process knows of, by gossip or by their tallies.
+fn seen_versions(
+    state: &reducer::EngineState,
+    service: &ids::EntryName,
+) -> Vec<ids::SoftwareVersion> {
+    let targets = state
+        .membership
+        .present()
+        .flat_map(|member| &member.targets);
+    let told = targets
+        .filter(|target| target.service == *service)
+        .filter_map(|target| target.version.clone());
+    let tallied = state.rollout.evidence.get(service);
+    let tallied = tallied.map(evidence::RolloutEvidence::by_version);
+    let tallied = tallied.into_iter().flatten();
+    told.chain(tallied.filter_map(|(version, _)| version))
+        .collect()
+}
+
 /// Calls at an own target that run or wait.
 fn in_flight(state: &reducer::EngineState, target: &ids::TargetName) -> u32 {
     admission::in_use(state, target)
--- a/crates/engine/tests/rollout.rs
+++ b/crates/engine/tests/rollout.rs
@@ -393,3 +393,20 @@
     let text = "2 of 2 targets are unhealthy, 25% of the old version's";
     assert_eq!(found.to_string(), text);
 }
+
+#[test]
+fn old_versions_completed() {
+    let ordered = rollout::RolloutEntry {
+        from: Vec::new(),
+        ..entry(rollout::RolloutPhase::Succeeded)
+    };
+    let seen = ["v1", "v2", "v1"].map(version).to_vec();
+    let ended = ordered.with_old_versions(seen);
+    assert_eq!(ended.from, [version("v1")]);
+    let mut all = both(4, 4);
+    cohort::assign(&ended, &mut all);
+    assert!(
+        all.iter()
+            .all(|target| target.version == Some(version("v2")))
+    );
+}
--- a/tests/all/rollouts.rs
+++ b/tests/all/rollouts.rs
@@ -15,6 +15,8 @@
 const NEW: [&str; 2] = ["new-1", "new-2"];
 /// Time between two calls of the load.
 const CALL_PAUSE: Duration = Duration::from_millis(2);
+/// Calls after the end of a roll-out that show where they go.
+const CHECKED_CALLS: u64 = 50;
 /// Calls that a bad version may have had beside a tenth of all.
 const CANARY_SLACK: usize = 50;
 
@@ -89,6 +91,21 @@
     targets.iter().map(|target| target.runs().len()).sum()
 }
 
+/// Holds that calls go to the new targets only.
+async fn check_left(
+    fleet: &mut fleet::Fleet,
+    old: &[target::StandInTarget],
+    new: &[target::StandInTarget],
+) {
+    let (at_old, at_new) = (runs(old), runs(new));
+    let node = fleet.instance("node-1").addresses["callers"];
+    for number in 0..CHECKED_CALLS {
+        assert_eq!(ask(node, number).await, Some(StatusCode::OK));
+    }
+    assert_eq!(runs(old), at_old, "old targets may stop and get nothing");
+    assert!(runs(new) >= at_new + CHECKED_CALLS as usize);
+}
+
 async fn order(fleet: &mut fleet::Fleet) {
     let arguments = ["start", "--to", "v2", "--within", "12s", "registru"];
     let (code, text) = run(fleet, &arguments).await;
@@ -106,17 +123,18 @@
     assert_eq!(code, Some(0), "{text}");
     assert!(text.contains("succeeded"), "{text}");
     assert_eq!(failed, 0, "calls were lost: {text}");
-    let at_old = runs(&old);
-    let node = fleet.instance("node-1").addresses["callers"];
-    for number in 0..50 {
-        assert_eq!(ask(node, number).await, Some(StatusCode::OK));
-    }
-    assert_eq!(
-        runs(&old),
-        at_old,
-        "old targets may stop and get nothing more"
-    );
-    assert!(runs(&new) >= 50);
+    check_left(&mut fleet, &old, &new).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn old_heard_of_late() {
+    let mut fleet = support::small_fleet().await;
+    order(&mut fleet).await;
+    let old = versions(&mut fleet, (OLD, "v1"), behaviour::AnswerForm::Whole).await;
+    let new = versions(&mut fleet, (NEW, "v2"), behaviour::AnswerForm::Whole).await;
+    let (code, text, _failed) = watch(&mut fleet).await;
+    assert_eq!(code, Some(0), "{text}");
+    check_left(&mut fleet, &old, &new).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -137,7 +155,7 @@
     let bound = (at_old + at_new) / 10 + CANARY_SLACK;
     assert!(at_new <= bound, "{at_new} of {at_old} calls went to it");
     let node = fleet.instance("node-1").addresses["callers"];
-    for number in 0..50 {
+    for number in 0..CHECKED_CALLS {
         assert_eq!(ask(node, number).await, Some(StatusCode::OK));
     }
     assert_eq!(
