Links: a connection whose stream its task missed sends keepalives

The keepalive of a connection is scheduled when its task is polled with a stream open. With several threads the task can be polled after the stream's first frame is queued and before the stream is registered; it then counts as idle, and nothing polls it again until the response.

--- a/crates/daemon/src/pool/nodes.rs
+++ b/crates/daemon/src/pool/nodes.rs
@@ -6,16 +6,23 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
 use hazeltiller_wire::handshake as wire;
-use hyper::{Request, Response, body::Incoming, client::conn::http2};
+use hyper::{
+    Request, Response,
+    body::Incoming,
+    client::conn::{TrySendError, http2},
+};
 use hyper_util::rt;
 use indexmap::IndexMap;
 use tokio::{
-    sync::watch,
+    sync::{Notify, watch},
     time::{self, Instant},
 };
 
@@ -63,7 +70,63 @@
     Unsent(Request<http::StreamBody>),
 }
 
-type NodeSender = http2::SendRequest<http::StreamBody>;
+/// Sends requests on one connection.
+#[derive(Debug, Clone)]
+struct NodeSender {
+    requests: http2::SendRequest<http::StreamBody>,
+    keepalive: Arc<Notify>,
+}
+
+impl NodeSender {
+    /// Sends a request. If the response takes longer than the keepalive interval, the connection's
+    /// task is polled again, so that it notices the open stream and sends a PING. It may have run
+    /// last between the sending of the stream's first frame and the registration of the stream, and
+    /// counts as idle in that case: it would then wait on a silent connection without any timer.
+    async fn send(
+        &mut self,
+        request: Request<http::StreamBody>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<http::StreamBody>>> {
+        let sending = self.requests.try_send_request(request);
+        let mut sending = std::pin::pin!(sending);
+        if let Ok(sent) = time::timeout(KEEPALIVE_INTERVAL, sending.as_mut()).await {
+            return sent;
+        }
+        self.keepalive.notify_one();
+        sending.await
+    }
+}
+
+/// Executor of a connection's tasks. The first task drives the connection and is also polled on
+/// each keepalive notification; the others belong to single streams.
+#[derive(Debug, Clone, Default)]
+struct ConnectionExecutor {
+    keepalive: Arc<Notify>,
+    has_connection_task: Arc<AtomicBool>,
+}
+
+impl<F> hyper::rt::Executor<F> for ConnectionExecutor
+where
+    F: Future + Send + 'static,
+    F::Output: Send,
+{
+    fn execute(&self, task: F) {
+        if self.has_connection_task.swap(true, Ordering::Relaxed) {
+            tokio::spawn(task);
+            return;
+        }
+        let keepalive = Arc::clone(&self.keepalive);
+        tokio::spawn(async move {
+            let mut task = std::pin::pin!(task);
+            loop {
+                tokio::select! {
+                    _output = task.as_mut() => return,
+                    () = keepalive.notified() => {}
+                }
+            }
+        });
+    }
+}
+
 /// Result of a dial; `None` while it is in progress.
 type DialResult = Option<Result<NodeSender, String>>;
 
@@ -128,7 +191,7 @@
         request: Request<http::StreamBody>,
     ) -> Result<SendOutcome, SendError> {
         let mut sender = self.sender(to).await?;
-        match sender.try_send_request(request).await {
+        match sender.send(request).await {
             Ok(response) => Ok(SendOutcome::Response(response)),
             Err(mut error) => match error.take_message() {
                 Some(request) => Ok(SendOutcome::Unsent(request)),
@@ -145,7 +208,7 @@
                 .lock()
                 .expect("no holder of the lock panics");
             match connections.get(&to) {
-                Some(NodeConnection::Open(sender)) if !sender.is_closed() => {
+                Some(NodeConnection::Open(sender)) if !sender.requests.is_closed() => {
                     return Ok(sender.clone());
                 }
                 Some(NodeConnection::Failed { failed_at, message })
@@ -203,17 +266,22 @@
 ) -> Result<NodeSender, String> {
     let stream = links::connect(credentials, to, wire::LinkPurpose::Calls).await;
     let stream = stream.map_err(|error| error.to_string())?;
-    let mut builder = http2::Builder::new(rt::TokioExecutor::new());
+    let executor = ConnectionExecutor::default();
+    let keepalive = Arc::clone(&executor.keepalive);
+    let mut builder = http2::Builder::new(executor);
     builder
         .timer(rt::TokioTimer::new())
         .keep_alive_interval(KEEPALIVE_INTERVAL)
         .keep_alive_timeout(keepalive_timeout);
     let opened = builder.handshake(rt::TokioIo::new(stream)).await;
-    let (sender, connection) = opened.map_err(|error| error.to_string())?;
+    let (requests, connection) = opened.map_err(|error| error.to_string())?;
     tokio::spawn(async move {
         if let Err(error) = connection.await {
             log::debug!("calls connection to node {to} ended with an error: {error}");
         }
     });
-    Ok(sender)
+    Ok(NodeSender {
+        requests,
+        keepalive,
+    })
 }
