Retries: the sum of all nodes' budgets stays under the fleet's

The reserve is now a node's share of 45 over the fleet (unchanged up to 15 nodes), what is earned beyond it halves in 5 s, and a share below one retry is spent at random against later earnings.

--- a/benches/goodput.rs
+++ b/benches/goodput.rs
@@ -127,6 +127,7 @@
             let tunables = &mut ingress.state.settings.tunables.retry;
             tunables.budget_percent = percent;
             tunables.budget_reserve = reserve;
+            tunables.budget_fleet_reserve = reserve.max(tunables.budget_fleet_reserve);
         });
         let kinds = CALL_MIX.map(|(path, share, ..)| {
             model::CallKind::plain(path, CAPACITY_CALLS_PER_S * 0.5 * share)
--- a/crates/daemon/src/gauges.rs
+++ b/crates/daemon/src/gauges.rs
@@ -1,6 +1,6 @@
 //! Sets gauges from the state of the reducer when metrics are scraped.
 
-use hazeltiller_engine::{admission, dissemination::convergence, reducer, replication};
+use hazeltiller_engine::{admission, dissemination::convergence, reducer, replication, retry};
 
 use crate::{byte_counts, metrics};
 
@@ -16,9 +16,11 @@
     update_group(state, metrics);
     update_rollouts(state, metrics);
     metrics.retry_budget.reset();
+    let tunables = &state.settings.tunables.retry;
+    let policy = retry::BudgetPolicy::for_retries(tunables, state.membership.node_count);
     for (service, _class, budget) in state.retry.budgets() {
         let gauge = metrics.retry_budget.with_label_values(&[service.as_str()]);
-        gauge.add(budget.available() as i64);
+        gauge.add(budget.available(&policy, state.now) as i64);
     }
 }
 
--- a/crates/engine/src/calls/ingress.rs
+++ b/crates/engine/src/calls/ingress.rs
@@ -334,19 +334,27 @@
         return false;
     }
     let spends_placement = context.is_free_placement && proof == retry::FailureProof::NotAdmitted;
-    if spends_placement && !state.retry.placement_budget(&attributes, tunables).spend() {
-        return false;
+    if spends_placement {
+        let policy = retry::BudgetPolicy::for_placements(tunables);
+        let budget = state.retry.placement_budget(&attributes, now);
+        if !budget.spend(&policy, now, 1.0) {
+            return false;
+        }
     }
     let spends_retry = proof.uses_budget() && !context.is_free_placement;
-    if spends_retry && !state.retry.retry_budget(&attributes, tunables).spend() {
-        return false;
+    if spends_retry {
+        let policy = retry::BudgetPolicy::for_retries(tunables, state.membership.node_count);
+        let draw = state.random.random();
+        let budget = state.retry.retry_budget(&attributes, now);
+        if !budget.spend(&policy, now, draw) {
+            return false;
+        }
     }
     record.free_placements += u32::from(context.is_free_placement);
     record.may_have_run |= proof == retry::FailureProof::MayHaveRun;
     let is_attempted = attempt(state, call, prefers_other_centres, output);
     if !is_attempted && spends_retry {
-        let tunables = &state.settings.tunables.retry;
-        state.retry.retry_budget(&attributes, tunables).refund();
+        state.retry.retry_budget(&attributes, now).refund();
     }
     is_attempted
 }
@@ -396,9 +404,12 @@
     result: &calls::AttemptResult,
 ) {
     if retry::is_success(result) {
-        let tunables = &state.settings.tunables.retry;
-        state.retry.retry_budget(attributes, tunables).earn();
-        state.retry.placement_budget(attributes, tunables).earn();
+        let (tunables, now) = (&state.settings.tunables.retry, state.now);
+        let policy = retry::BudgetPolicy::for_retries(tunables, state.membership.node_count);
+        state.retry.retry_budget(attributes, now).earn(&policy, now);
+        let policy = retry::BudgetPolicy::for_placements(tunables);
+        let budget = state.retry.placement_budget(attributes, now);
+        budget.earn(&policy, now);
     }
 }
 
--- a/crates/engine/src/membership.rs
+++ b/crates/engine/src/membership.rs
@@ -84,6 +84,9 @@
     /// Increases whenever a member, a target or a member's reachability changes. Routing tables
     /// derived from membership stay valid until then.
     pub revision: u64,
+    /// Number of nodes that have neither left nor been forgotten, this process included, as of the
+    /// last scan of the table.
+    pub node_count: usize,
     /// Data centres not heard from for longer than the limit.
     silent_centres: IndexSet<ids::DataCentreName>,
     /// Digest of each bucket of the member table.
@@ -115,6 +118,7 @@
             removed: IndexMap::new(),
             members: IndexMap::new(),
             revision: 0,
+            node_count: 0,
             silent_centres: IndexSet::new(),
             buckets: vec![wire::ShortDigest::default(); table::BUCKET_COUNT],
             centre_contacts: IndexMap::new(),
--- a/crates/engine/src/membership/reach.rs
+++ b/crates/engine/src/membership/reach.rs
@@ -172,6 +172,8 @@
         return;
     }
     update_silent_centres(state);
+    let records = state.membership.present();
+    state.membership.node_count = records.filter(|record| record.identity.is_node).count();
     let tunables = &state.settings.tunables.membership;
     let confirm_timeout = settings::millis(tunables.confirm_ms);
     let forget_timeout = settings::millis(tunables.forget_ms);
--- a/crates/engine/src/retry.rs
+++ b/crates/engine/src/retry.rs
@@ -10,7 +10,7 @@
 
 use std::time::Duration;
 
-use hazeltiller_units::{code, ids};
+use hazeltiller_units::{code, ids, time};
 use hazeltiller_wire::calls as wire;
 use indexmap::IndexMap;
 
@@ -18,6 +18,8 @@
 
 /// HTTP status with which a target sheds a call.
 const SHED_STATUS: u16 = 503;
+/// Tolerance for sums of earned fractions, such as ten tenths.
+const ROUNDING_ERROR: f64 = 1e-9;
 /// Lowest HTTP status of a response that reports a failure of the target.
 const FAILED_STATUS: u16 = 500;
 
@@ -26,21 +28,34 @@
     matches!(result, calls::AttemptResult::Answered { status } if *status < FAILED_STATUS)
 }
 
-/// Rate at which a budget is filled, and its capacity.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// How a budget is filled and emptied.
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct BudgetPolicy {
     /// Amount added by each successful attempt, in percent of a further attempt.
-    pub earned_percent: u64,
-    /// Capacity in attempts; a new budget is full.
-    pub capacity: u64,
+    earned_percent: u64,
+    /// Capacity in attempts.
+    capacity: f64,
+    /// Attempts that are available before any has succeeded; at most the capacity.
+    reserve: f64,
+    /// Half-life of what was earned beyond the reserve; `None` if it is kept.
+    half_life: Option<Duration>,
 }
 
 impl BudgetPolicy {
-    /// Returns the policy for retries, which may run a call a second time.
-    pub fn for_retries(tunables: &settings::RetryTunables) -> Self {
+    /// Returns the policy for retries, which may run a call a second time, on a node of a fleet of
+    /// `nodes`.
+    ///
+    /// Many nodes meet the same shortage at the same moment, so what the services receive is the
+    /// sum over all nodes. The reserve is therefore the node's share of a reserve of the whole
+    /// fleet, and what was earned long ago is not available any more.
+    pub fn for_retries(tunables: &settings::RetryTunables, nodes: usize) -> Self {
+        let capacity = tunables.budget_reserve as f64;
+        let share = tunables.budget_fleet_reserve as f64 / nodes.max(1) as f64;
         Self {
             earned_percent: tunables.budget_percent,
-            capacity: tunables.budget_reserve,
+            capacity,
+            reserve: share.min(capacity),
+            half_life: Some(settings::millis(tunables.budget_half_life_ms)),
         }
     }
 
@@ -48,55 +63,81 @@
     /// offer costs processor time on two nodes; without a bound, the nodes would be busiest when
     /// all targets are full, and responses would be late.
     pub fn for_placements(tunables: &settings::RetryTunables) -> Self {
+        let capacity = tunables.placement_reserve as f64;
         Self {
             earned_percent: tunables.placement_percent,
-            capacity: tunables.placement_reserve,
+            capacity,
+            reserve: capacity,
+            half_life: None,
         }
     }
+
+    /// Returns whether a fraction of an attempt may be spent, at random and against later earnings.
+    /// A share of the fleet's reserve below one attempt would otherwise never pay for any, and a
+    /// node with few calls would never retry.
+    fn allows_fractions(&self) -> bool {
+        self.reserve < 1.0
+    }
 }
 
 /// Budget of further attempts, filled by successful ones.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryBudget {
-    policy: BudgetPolicy,
-    /// Balance in percent of an attempt.
-    balance_percent: u64,
+    /// Attempts earned (positive) or owed (negative) relative to the reserve.
+    balance: f64,
+    updated_at: time::MonotonicTime,
 }
 
 impl RetryBudget {
-    /// Returns a full budget.
-    pub fn new(policy: BudgetPolicy) -> Self {
+    /// Returns a budget that holds the reserve.
+    pub fn new(now: time::MonotonicTime) -> Self {
         Self {
-            policy,
-            balance_percent: policy.capacity * 100,
+            balance: 0.0,
+            updated_at: now,
         }
     }
 
     /// Adds the amount that a successful attempt earns.
-    pub fn earn(&mut self) {
-        let capacity_percent = self.policy.capacity * 100;
-        self.balance_percent =
-            (self.balance_percent + self.policy.earned_percent).min(capacity_percent);
+    pub fn earn(&mut self, policy: &BudgetPolicy, now: time::MonotonicTime) {
+        let earned = policy.earned_percent as f64 / settings::PERCENT;
+        let capacity = policy.capacity - policy.reserve;
+        self.balance = (self.decayed(policy, now) + earned).min(capacity);
+        self.updated_at = now;
     }
 
-    /// Returns the number of further attempts that the balance pays for.
-    pub fn available(&self) -> u64 {
-        self.balance_percent / 100
+    /// Returns the number of further attempts that the budget pays for.
+    pub fn available(&self, policy: &BudgetPolicy, now: time::MonotonicTime) -> f64 {
+        policy.reserve + self.decayed(policy, now)
     }
 
     /// Adds back the cost of an attempt that was not made.
     pub fn refund(&mut self) {
-        self.balance_percent += 100;
+        self.balance += 1.0;
     }
 
-    /// Deducts the cost of a further attempt; returns false if the balance does not suffice.
-    pub fn spend(&mut self) -> bool {
-        let is_covered = self.balance_percent >= 100;
+    /// Deducts the cost of a further attempt; returns false if the budget does not pay for it.
+    /// `draw` is a random number from 0 to 1, which decides if only a fraction is available.
+    pub fn spend(&mut self, policy: &BudgetPolicy, now: time::MonotonicTime, draw: f64) -> bool {
+        let available = self.available(policy, now);
+        let is_covered = available >= 1.0 - ROUNDING_ERROR
+            || policy.allows_fractions() && available > draw.max(ROUNDING_ERROR);
         if is_covered {
-            self.balance_percent -= 100;
+            self.balance = self.decayed(policy, now) - 1.0;
+            self.updated_at = now;
         }
         is_covered
     }
+
+    /// Returns the balance after the decay of what was earned. A debt does not decay.
+    fn decayed(&self, policy: &BudgetPolicy, now: time::MonotonicTime) -> f64 {
+        match policy.half_life {
+            Some(half_life) if self.balance > 0.0 => {
+                let age = now.since(self.updated_at).as_secs_f64();
+                self.balance * (-age / half_life.as_secs_f64()).exp2()
+            }
+            _ => self.balance,
+        }
+    }
 }
 
 /// Budgets by service and class, so that refusals of one class do not use up another's budget.
@@ -125,27 +166,31 @@
     pub fn retry_budget(
         &mut self,
         attributes: &calls::attributes::CallAttributes,
-        tunables: &settings::RetryTunables,
+        now: time::MonotonicTime,
     ) -> &mut RetryBudget {
-        let key = (attributes.service.clone(), attributes.class.clone());
-        let policy = BudgetPolicy::for_retries(tunables);
-        let budget = self.retry_budgets.entry(key);
-        budget.or_insert_with(|| RetryBudget::new(policy))
+        budget_of(&mut self.retry_budgets, attributes, now)
     }
 
     /// Returns the placement budget of a call's service and class.
     pub fn placement_budget(
         &mut self,
         attributes: &calls::attributes::CallAttributes,
-        tunables: &settings::RetryTunables,
+        now: time::MonotonicTime,
     ) -> &mut RetryBudget {
-        let key = (attributes.service.clone(), attributes.class.clone());
-        let policy = BudgetPolicy::for_placements(tunables);
-        let budget = self.placement_budgets.entry(key);
-        budget.or_insert_with(|| RetryBudget::new(policy))
+        budget_of(&mut self.placement_budgets, attributes, now)
     }
 }
 
+fn budget_of<'a>(
+    budgets: &'a mut BudgetTable,
+    attributes: &calls::attributes::CallAttributes,
+    now: time::MonotonicTime,
+) -> &'a mut RetryBudget {
+    let key = (attributes.service.clone(), attributes.class.clone());
+    let budget = budgets.entry(key);
+    budget.or_insert_with(|| RetryBudget::new(now))
+}
+
 /// Returns whether an owner node refused because its target is gone or leaving, or because the node
 /// itself is stopping.
 pub fn is_target_leaving(refusal: &wire::CallRefusal) -> bool {
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -272,9 +272,16 @@
         /// Retries that each successful attempt adds to the budget of its service and class, in
         /// percent of one.
         budget_percent = 10, 0..=100;
-        /// Retries of a service and class that a node may make at once, before any attempt has
-        /// added to the budget.
+        /// Maximum number of retries of a service and class that a node may make at once.
         budget_reserve = 3, 0..=1000;
+        /// Retries of a service and class that all nodes together may make at once before any
+        /// attempt has added to their budgets; each node has its share of it, up to
+        /// `budget_reserve`.
+        budget_fleet_reserve = 45, 0..=100_000;
+        /// Half-life of what successful attempts have added to a budget beyond its reserve, in
+        /// milliseconds, so that little of what was earned before a failure is spent at once when
+        /// it begins.
+        budget_half_life_ms = 5000, 100..=600_000;
         /// Maximum number of further offers of a call, beyond the route's attempts, after owner
         /// nodes that had no free slot for it before their target was offered it.
         free_placements = 0, 0..=16;
--- a/crates/engine/tests/retry.rs
+++ b/crates/engine/tests/retry.rs
@@ -4,7 +4,7 @@
 
 use hazeltiller_engine::{calls, retry, settings};
 use hazeltiller_testkit::node;
-use hazeltiller_units::{code, ids};
+use hazeltiller_units::{code, ids, time};
 use hazeltiller_wire::calls as wire;
 use serde_json::{Value, json};
 
@@ -29,7 +29,11 @@
 
 impl IngressNode {
     fn new(targets: u32) -> Self {
-        let mut node = node::NodeReducer::new("node-1", "brasov-a", &entries());
+        Self::with_entries(targets, &entries())
+    }
+
+    fn with_entries(targets: u32, entries: &Value) -> Self {
+        let mut node = node::NodeReducer::new("node-1", "brasov-a", entries);
         for number in 0..targets {
             let name = format!("registru-{number}");
             let identity = node::identity(&format!("node-{name}"), "brasov-a", "ro-centru");
@@ -51,6 +55,13 @@
         self.single_effect(calls::CallEvent::Arrived(arrival))
     }
 
+    /// Lets a first attempt of a `GET` request arrive.
+    fn arrive_at(&mut self, path: &str) -> calls::CallEffect {
+        self.last_call += 1;
+        let arrival = node::arrival(self.last_call, path);
+        self.single_effect(calls::CallEvent::Arrived(arrival))
+    }
+
     fn end(&mut self, result: calls::AttemptResult) -> calls::CallEffect {
         let call = ids::CallId(self.last_call);
         self.single_effect(calls::CallEvent::AttemptEnded {
@@ -310,8 +321,109 @@
 #[test]
 fn budget_capped() {
     let tunables = settings::RetryTunables::default();
-    let mut budget = retry::RetryBudget::new(retry::BudgetPolicy::for_retries(&tunables));
-    (0..10_000).for_each(|_| budget.earn());
-    let spent = (0..1000).filter(|_| budget.spend()).count();
-    assert_eq!(spent as u64, tunables.budget_reserve);
+    let now = time::MonotonicTime::default();
+    for nodes in [1, 15, 100, 1000] {
+        let policy = retry::BudgetPolicy::for_retries(&tunables, nodes);
+        let mut budget = retry::RetryBudget::new(now);
+        (0..10_000).for_each(|_| budget.earn(&policy, now));
+        let spent = (0..1000)
+            .filter(|_| budget.spend(&policy, now, 0.5))
+            .count();
+        assert_eq!(spent as u64, tunables.budget_reserve, "{nodes} nodes");
+    }
+}
+
+/// Retries per request that the services grant, over all nodes and in any ten seconds.
+const GRANTED_RATIO: f64 = 0.2;
+/// Retries that the services of a fleet of 15 nodes grant in addition.
+const GRANTED_SLACK: f64 = 62.0;
+
+/// Two kinds of calls of one service, which differ in class.
+fn two_classes() -> Value {
+    json!([
+        {"kind": "class", "name": "counter", "owner": "registru", "class": "counter"},
+        {"kind": "class", "name": "desk", "owner": "registru", "class": "counter", "rank": 2},
+        {"kind": "owner", "name": "registru", "owner": "registru", "class": "counter"},
+        {"kind": "service", "name": "registru", "owner": "registru", "class": "counter"},
+        {"kind": "route", "name": "lookup", "owner": "registru", "class": "desk",
+         "service": "registru", "match": {"path_prefix": "/lookup"}, "limits": {"tries": 3}},
+        {"kind": "route", "name": "issue", "owner": "registru", "class": "counter",
+         "service": "registru", "match": {"path_prefix": "/issue"}, "limits": {"tries": 3}},
+    ])
+}
+
+/// A node of a large fleet, which sees few of its calls.
+struct FleetNode {
+    ingress: IngressNode,
+    /// Attempts beyond the first of their call.
+    retries: u32,
+}
+
+impl FleetNode {
+    fn new(index: usize, nodes: usize) -> Self {
+        let mut ingress = IngressNode::with_entries(3, &two_classes());
+        ingress.node.state.membership.node_count = nodes;
+        ingress.node.state.random = rand::SeedableRng::seed_from_u64(index as u64);
+        Self {
+            ingress,
+            retries: 0,
+        }
+    }
+
+    /// Makes one call each of `lookup` and `issue`, of whose attempts the targets shed every
+    /// `shed_interval`-th.
+    fn call(&mut self, attempts: &mut u32, shed_interval: Option<u32>) {
+        for path in ["/lookup", "/issue"] {
+            let mut effect = self.ingress.arrive_at(path);
+            let mut call_attempts = 0;
+            while let calls::CallEffect::Attempt(..) = effect {
+                call_attempts += 1;
+                *attempts += 1;
+                let is_shed =
+                    shed_interval.is_some_and(|interval| attempts.is_multiple_of(interval));
+                effect = self.ingress.end(if is_shed {
+                    let declined = refused(code::ResultCode::TargetDeclined).elsewhere();
+                    calls::AttemptResult::Refused(declined)
+                } else {
+                    calls::AttemptResult::Answered { status: 200 }
+                });
+            }
+            self.retries += call_attempts - 1;
+            let call = ids::CallId(self.ingress.last_call);
+            self.ingress.node.call(calls::CallEvent::Finished(call));
+        }
+    }
+}
+
+/// The nodes of a large fleet each had a few retries in reserve. When half of a service's targets
+/// shed what they received, all nodes spent them within the same seconds, and the service received
+/// more retries than its callers' requests entitle it to.
+#[test]
+fn reserves_add_up() {
+    const CALLS_BEFORE: u32 = 10;
+    const CALLS_WHILE_SHEDDING: u32 = 12;
+    const CALL_INTERVAL: Duration = Duration::from_millis(800);
+    for (nodes, shed_interval) in [(15, 2), (15, 1), (1000, 1), (2000, 2)] {
+        let (mut attempts, mut requests, mut retries) = (0, 0, 0);
+        for index in 0..nodes {
+            let mut node = FleetNode::new(index, nodes);
+            for _ in 0..CALLS_BEFORE {
+                node.call(&mut attempts, None);
+                node.ingress.node.now = node.ingress.node.now + CALL_INTERVAL;
+            }
+            for _ in 0..CALLS_WHILE_SHEDDING {
+                node.call(&mut attempts, Some(shed_interval));
+                node.ingress.node.now = node.ingress.node.now + CALL_INTERVAL;
+            }
+            requests += 2 * CALLS_WHILE_SHEDDING;
+            retries += node.retries;
+        }
+        let granted = GRANTED_RATIO * f64::from(requests) + GRANTED_SLACK;
+        assert!(
+            f64::from(retries) <= granted,
+            "{nodes} nodes, 1 of {shed_interval} shed: {retries} retries, {granted} granted"
+        );
+        let is_served = shed_interval == 1 || f64::from(retries) > 0.05 * f64::from(requests);
+        assert!(is_served, "{nodes} nodes hardly retry: {retries}");
+    }
 }
