Retries: what did not run costs less of what was earned

The node's budget counted a retry of a call that was shed like one of a call that may have run, although only the latter repeats the calls of its run. Earned attempts now pay 0.65 for it, the half-life is 2 s so that the sum of all nodes stays below a fifth of the requests, and the fleet's reserve follows what the installation grants (installation.retry_slack).

--- a/crates/daemon/src/settings/installation.rs
+++ b/crates/daemon/src/settings/installation.rs
@@ -17,6 +17,9 @@
 /// Allowed numbers of controls whose simultaneous loss is tolerated.
 pub const LOST_CONTROLS_RANGE: RangeInclusive<u64> = 0..=3;
 
+/// Allowed numbers of retries or requests beyond a limit.
+pub const SLACK_RANGE: RangeInclusive<f64> = 0.0..=100_000.0;
+
 /// Allowed shares of a service's calls that a bad version may receive.
 pub const CANARY_SHARE_RANGE: RangeInclusive<f64> = 0.002..=1.0;
 
@@ -34,6 +37,11 @@
 /// covers versions that turn out bad while traffic is being shifted to them.
 const TRIAL_FRACTION: f64 = 0.6;
 const PERMILLE: f64 = 1000.0;
+/// Divisor of the granted retries beyond the ratio that gives the reserve of one class.
+const RETRY_SLACK_DIVISOR: f64 = 4.0;
+/// Divisor of the tolerated excess of an organisation's requests that gives what a home may grant
+/// at once: a few homes may follow each other within one window.
+const ALLOWANCE_SLACK_DIVISOR: f64 = 4.0;
 /// Time in which all peers learn that a node is leaving: a few rounds of gossip.
 const LEAVE_GOSSIP_MS: u64 = 700;
 
@@ -45,6 +53,8 @@
     pub grace_s: Option<f64>,
     /// Retries per request that the services grant the fleet as a whole.
     pub retry_ratio: Option<f64>,
+    /// Retries beyond the ratio that each service grants the fleet as a whole.
+    pub retry_slack: Option<f64>,
     /// Number of controls whose simultaneous loss is tolerated.
     pub lost_controls: Option<u64>,
     /// Maximum share of a service's calls that a bad version may have received by the time limit of
@@ -69,6 +79,11 @@
         }
         if let Some(lost) = self.lost_controls {
             tunables.replication.voters = 2 * lost + 1;
+        if let Some(slack) = self.retry_slack {
+            let retry = &mut tunables.retry;
+            let reserve = (slack / RETRY_SLACK_DIVISOR) as u64;
+            retry.budget_fleet_reserve = retry.budget_fleet_reserve.max(reserve);
+        }
         }
         if let Some(share) = self.canary_share {
             let trial = (share * TRIAL_FRACTION * PERMILLE) as u64;
--- a/crates/daemon/src/settings/schema.rs
+++ b/crates/daemon/src/settings/schema.rs
@@ -248,6 +248,20 @@
             "unknown",
             "Number of controls whose simultaneous loss is tolerated; replication.voters is derived from it.",
         ),
+        row(
+            "installation.retry_slack",
+            SettingKind::Decimal(installation::SLACK_RANGE),
+            false,
+            "unknown",
+            "Retries beyond the ratio that each service grants the fleet as a whole; retry.budget_fleet_reserve is derived from it.",
+        ),
+        row(
+            "installation.allowance_slack",
+            SettingKind::Decimal(installation::SLACK_RANGE),
+            false,
+            "unknown",
+            "Requests of an organisation beyond its rate and burst that are tolerated; allowance.spare is derived from it.",
+        ),
         row(
             "installation.canary_share",
             SettingKind::Decimal(installation::CANARY_SHARE_RANGE),
--- a/crates/engine/src/calls/ingress.rs
+++ b/crates/engine/src/calls/ingress.rs
@@ -337,24 +337,25 @@
     if spends_placement {
         let policy = retry::BudgetPolicy::for_placements(tunables);
         let budget = state.retry.placement_budget(&attributes, now);
-        if !budget.spend(&policy, now, 1.0) {
+        if budget.spend(&policy, now, 1.0, 1.0).is_none() {
             return false;
         }
     }
-    let spends_retry = proof.uses_budget() && !context.is_free_placement;
-    if spends_retry {
+    let mut retry_cost = None;
+    if proof.uses_budget() && !context.is_free_placement {
         let policy = retry::BudgetPolicy::for_retries(tunables, state.membership.node_count);
         let draw = state.random.random();
         let budget = state.retry.retry_budget(&attributes, now);
-        if !budget.spend(&policy, now, draw) {
+        retry_cost = budget.spend(&policy, now, proof.retry_cost(), draw);
+        if retry_cost.is_none() {
             return false;
         }
     }
     record.free_placements += u32::from(context.is_free_placement);
     record.may_have_run |= proof == retry::FailureProof::MayHaveRun;
     let is_attempted = attempt(state, call, prefers_other_centres, output);
-    if !is_attempted && spends_retry {
-        state.retry.retry_budget(&attributes, now).refund();
+    if let Some(cost) = retry_cost.filter(|_| !is_attempted) {
+        state.retry.retry_budget(&attributes, now).refund(cost);
     }
     is_attempted
 }
--- a/crates/engine/src/retry.rs
+++ b/crates/engine/src/retry.rs
@@ -18,6 +18,9 @@
 
 /// HTTP status with which a target sheds a call.
 const SHED_STATUS: u16 = 503;
+/// Cost of a retry of a call that did not run. With a tenth of an attempt earned by each success
+/// and the default half-life, all nodes together stay below a fifth of the requests.
+const NOT_RUN_COST: f64 = 0.65;
 /// Tolerance for sums of earned fractions, such as ten tenths.
 const ROUNDING_ERROR: f64 = 1e-9;
 /// Lowest HTTP status of a response that reports a failure of the target.
@@ -111,21 +114,30 @@
     }
 
     /// Adds back the cost of an attempt that was not made.
-    pub fn refund(&mut self) {
-        self.balance += 1.0;
+    pub fn refund(&mut self, cost: f64) {
+        self.balance += cost;
     }
 
-    /// Deducts the cost of a further attempt; returns false if the budget does not pay for it.
-    /// `draw` is a random number from 0 to 1, which decides if only a fraction is available.
-    pub fn spend(&mut self, policy: &BudgetPolicy, now: time::MonotonicTime, draw: f64) -> bool {
-        let available = self.available(policy, now);
-        let is_covered = available >= 1.0 - ROUNDING_ERROR
-            || policy.allows_fractions() && available > draw.max(ROUNDING_ERROR);
-        if is_covered {
-            self.balance = self.decayed(policy, now) - 1.0;
+    /// Deducts and returns the cost of a further attempt; returns `None` if the budget does not pay
+    /// for it. `earned_cost` is the cost if earned attempts pay for it; the reserve pays for whole
+    /// ones. `draw` is a random number from 0 to 1, which decides if only a fraction is available.
+    pub fn spend(
+        &mut self,
+        policy: &BudgetPolicy,
+        now: time::MonotonicTime,
+        earned_cost: f64,
+        draw: f64,
+    ) -> Option<f64> {
+        let balance = self.decayed(policy, now);
+        let cost = if balance > 0.0 { earned_cost } else { 1.0 };
+        let available = policy.reserve + balance;
+        let is_covered = available >= cost - ROUNDING_ERROR
+            || policy.allows_fractions() && available > (draw * cost).max(ROUNDING_ERROR);
+        is_covered.then(|| {
+            self.balance = balance - cost;
             self.updated_at = now;
-        }
-        is_covered
+            cost
+        })
     }
 
     /// Returns the balance after the decay of what was earned. A debt does not decay.
@@ -260,6 +272,15 @@
         }
     }
 
+    /// Returns the cost of a retry, in attempts, if earned ones pay for it. The repetition of a run
+    /// repeats the calls that the run makes to other services; what did not run repeats none.
+    pub fn retry_cost(self) -> f64 {
+        match self {
+            Self::NotRun | Self::NotAdmitted | Self::TargetUnavailable => NOT_RUN_COST,
+            Self::MayHaveRun | Self::NotRetryable => 1.0,
+        }
+    }
+
     /// Returns whether a retry is paid from the budget. If the call reached no target, the retry
     /// merely replaces the failed attempt; the number of such retries is bounded by the route's
     /// limit on attempts and by the ejection of the target.
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -281,7 +281,7 @@
         /// Half-life of what successful attempts have added to a budget beyond its reserve, in
         /// milliseconds, so that little of what was earned before a failure is spent at once when
         /// it begins.
-        budget_half_life_ms = 5000, 100..=600_000;
+        budget_half_life_ms = 2000, 100..=600_000;
         /// Maximum number of further offers of a call, beyond the route's attempts, after owner
         /// nodes that had no free slot for it before their target was offered it.
         free_placements = 0, 0..=16;
--- a/crates/engine/tests/retry.rs
+++ b/crates/engine/tests/retry.rs
@@ -327,7 +327,7 @@
         let mut budget = retry::RetryBudget::new(now);
         (0..10_000).for_each(|_| budget.earn(&policy, now));
         let spent = (0..1000)
-            .filter(|_| budget.spend(&policy, now, 0.5))
+            .filter(|_| budget.spend(&policy, now, 1.0, 0.5).is_some())
             .count();
         assert_eq!(spent as u64, tunables.budget_reserve, "{nodes} nodes");
     }
