Target table: a change of one member costs that member's targets

Membership now logs which members changed; the table and the monitor follow the log, and build anew only for a new catalogue or when the log does not reach back. A call's choice looks at 32 targets near and 32 far instead of all (a service with fewer is looked at as a whole, as before), the ejection ceiling included.

Tests: whole_rebuilds counts 2 updates for one record at 100 and at 1,000 members (before: all targets), table_follows_members compares with a table built anew over 400 random changes, choice_spread holds the distribution over 900 targets.

--- a/crates/daemon/src/observer/fleet.rs
+++ b/crates/daemon/src/observer/fleet.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use hazeltiller_engine::{
+    membership::table as membership,
     reducer, replication,
     timeline::{MemberView, TimelineEvent},
 };
@@ -72,8 +73,28 @@
         if self.membership_revision == state.membership.revision {
             return;
         }
+        let changes = state.membership.changes_since(self.membership_revision);
         self.membership_revision = state.membership.revision;
-        for (name, member) in &state.membership.members {
+        match changes {
+            Some(names) => {
+                let members = names.iter().filter_map(|name| {
+                    let member = state.membership.members.get(name)?;
+                    Some((name, member))
+                });
+                self.record_views(members, state, timeline);
+            }
+            None => self.record_views(&state.membership.members, state, timeline),
+        }
+    }
+
+    /// Records members whose view differs from the last recorded one.
+    fn record_views<'a>(
+        &mut self,
+        members: impl IntoIterator<Item = (&'a ids::InstanceName, &'a membership::KnownMember)>,
+        state: &reducer::EngineState,
+        timeline: &timeline::Timeline,
+    ) {
+        for (name, member) in members {
             let view = if member.is_forgotten {
                 MemberView::Forgotten
             } else if member.record.has_left {
--- a/crates/engine/src/admission.rs
+++ b/crates/engine/src/admission.rs
@@ -495,8 +495,8 @@
     let own_instance = &state.settings.identity.instance;
     let targets = table.of_service(service).iter();
     let own_slots: u32 = targets
-        .filter(|target| target.instance == *own_instance)
-        .map(|target| target.slots)
+        .filter(|(_, target)| target.instance == *own_instance)
+        .map(|(_, target)| target.slots)
         .sum();
     f64::from(own_slots) / f64::from(table.slots(service).max(1))
 }
--- a/crates/engine/src/health/ejection.rs
+++ b/crates/engine/src/health/ejection.rs
@@ -91,29 +91,28 @@
     }
 }
 
-/// Returns the indexes, in the target list of the service, of the targets to leave out of
-/// selection. Above the ceiling, only those that cannot be connected to are left out.
+/// Returns those of some targets of a service that are to be left out of selection. Above the
+/// ceiling, only those that cannot be connected to are left out; the share that is compared with
+/// the ceiling is that of the given targets.
 pub fn ejected_targets(
     state: &reducer::EngineState,
     service: &ids::EntryName,
-    spill: bool,
-) -> IndexSet<usize> {
-    let is_permitted = |target: &&table::ReadyTarget| {
-        target.is_reachable && (spill || target.distance == table::TargetDistance::SameDataCentre)
-    };
+    indexes: &[table::TargetIndex],
+) -> IndexSet<table::TargetIndex> {
     let health = |target: &table::ReadyTarget| {
         let view = state.routing.views.get(&target.target);
         view.map(|view| view.health).unwrap_or_default()
     };
-    let targets = state.routing.table.of_service(service).iter().enumerate();
-    let permitted = targets.filter(|(_, target)| is_permitted(target));
+    let targets = state.routing.table.of_service(service);
+    let targets = indexes.iter().map(|index| (*index, targets.get(*index)));
+    let permitted = targets.filter(|(_, target)| target.is_reachable);
     let (connect_failed, connectable): (Vec<_>, Vec<_>) =
         permitted.partition(|(_, target)| health(target).is_connect_failing(state.now));
-    let index = |(index, _): &(usize, &table::ReadyTarget)| *index;
+    let index = |(index, _): &(table::TargetIndex, &table::ReadyTarget)| *index;
     let ejected = connectable
         .iter()
         .filter(|(_, target)| health(target).is_ejected(state.now));
-    let ejected: Vec<usize> = ejected.map(index).collect();
+    let ejected: Vec<table::TargetIndex> = ejected.map(index).collect();
     let ceiling_percent = state.settings.tunables.health.ejected_percent as usize;
     let exceeds_ceiling = ejected.len() * 100 > ceiling_percent * connectable.len();
     let ejected = ejected.into_iter().filter(|_| !exceeds_ceiling);
@@ -127,7 +126,7 @@
     service: &ids::EntryName,
 ) -> Option<Duration> {
     let targets = state.routing.table.of_service(service).iter();
-    let views = targets.filter_map(|target| state.routing.views.get(&target.target));
+    let views = targets.filter_map(|(_, target)| state.routing.views.get(&target.target));
     let connect_failed = views.filter(|view| view.health.is_connect_failing(state.now));
     connect_failed
         .map(|view| view.health.remaining(state.now))
--- a/crates/engine/src/membership.rs
+++ b/crates/engine/src/membership.rs
@@ -5,6 +5,7 @@
 //! idle traffic of a node does not grow with the fleet: it has a fixed number of gossip partners
 //! and sends bounded messages.
 
+mod changes;
 pub mod gossip;
 pub mod own;
 pub mod partners;
@@ -84,6 +85,8 @@
     /// Increases whenever a member, a target or a member's reachability changes. Routing tables
     /// derived from membership stay valid until then.
     pub revision: u64,
+    /// Members that changed with the latest revisions.
+    changes: changes::ChangeLog,
     /// Number of nodes that have neither left nor been forgotten, this process included, as of the
     /// last scan of the table.
     pub node_count: usize,
@@ -118,6 +121,7 @@
             removed: IndexMap::new(),
             members: IndexMap::new(),
             revision: 0,
+            changes: changes::ChangeLog::default(),
             node_count: 0,
             silent_centres: IndexSet::new(),
             buckets: vec![wire::ShortDigest::default(); table::BUCKET_COUNT],
@@ -142,6 +146,15 @@
             .chain(others)
     }
 
+    /// Returns whether a member, which may be this process, has neither left nor been forgotten.
+    pub fn is_present(&self, instance: &ids::InstanceName) -> bool {
+        if *instance == self.own.identity.instance {
+            return !self.own.has_left;
+        }
+        let member = self.members.get(instance);
+        member.is_some_and(table::KnownMember::is_present)
+    }
+
     /// Returns whether a member is not considered unreachable. A member that is unreachable from
     /// here may still be running.
     pub fn is_reachable(&self, instance: &ids::InstanceName) -> bool {
--- a/crates/engine/src/membership/own.rs
+++ b/crates/engine/src/membership/own.rs
@@ -16,7 +16,7 @@
         change(&mut self.own);
         self.own.sequence += 1;
         self.toggle_own_digest();
-        self.revision += 1;
+        self.record_change(Some(self.own.identity.instance.clone()));
         self.rumours.insert(self.own.identity.instance.clone());
     }
 
--- a/crates/engine/src/membership/reach.rs
+++ b/crates/engine/src/membership/reach.rs
@@ -88,7 +88,7 @@
         centres.into_iter().filter(is_silent).cloned().collect();
     if silent != state.membership.silent_centres {
         state.membership.silent_centres = silent;
-        state.membership.revision += 1;
+        state.membership.record_change(None);
     }
 }
 
@@ -109,7 +109,8 @@
     if member.status != table::MemberStatus::Alive {
         member.status = table::MemberStatus::Alive;
         state.membership.partners.is_stale = true;
-        state.membership.revision += 1;
+        let changed = Some(from.instance.clone());
+        state.membership.record_change(changed);
     }
 }
 
@@ -159,8 +160,9 @@
     if is_alive && member.is_copy(suspicion.incarnation, suspicion.sequence) {
         member.status = table::MemberStatus::Suspected(now);
         let name = suspicion.instance.clone();
+        let changed = Some(name.clone());
         state.membership.suspicions.insert(name, suspicion);
-        state.membership.revision += 1;
+        state.membership.record_change(changed);
     }
 }
 
@@ -180,12 +182,12 @@
     let tombstone_time = settings::millis(tunables.tombstone_ms);
     let now = state.now;
     let mut forgotten = Vec::new();
-    let mut has_changed = false;
+    let mut unreachable = Vec::new();
     for (name, member) in &mut state.membership.members {
         match member.status {
             table::MemberStatus::Suspected(since) if now.since(since) > confirm_timeout => {
                 member.status = table::MemberStatus::Unreachable(now);
-                has_changed = true;
+                unreachable.push(name.clone());
             }
             table::MemberStatus::Unreachable(since)
                 if now.since(since) > forget_timeout && member.is_present() =>
@@ -195,8 +197,10 @@
             _ => {}
         }
     }
-    state.membership.partners.is_stale |= has_changed;
-    state.membership.revision += u64::from(has_changed);
+    for name in unreachable {
+        state.membership.partners.is_stale = true;
+        state.membership.record_change(Some(name));
+    }
     for name in forgotten {
         state.membership.forget(&name);
     }
--- a/crates/engine/src/membership/table.rs
+++ b/crates/engine/src/membership/table.rs
@@ -146,7 +146,7 @@
             member.record.targets.clear();
         }
         self.partners.is_stale = true;
-        self.revision += 1;
+        self.record_change(Some(name.clone()));
     }
 }
 
@@ -184,7 +184,7 @@
     };
     state.membership.members.insert(name.clone(), member);
     state.membership.toggle_digest(&name);
-    state.membership.revision += 1;
+    state.membership.record_change(Some(name.clone()));
     state.membership.suspicions.swap_remove(&name);
     state.membership.rumours.insert(name);
     RecordOutcome::New
--- a/crates/engine/src/routing.rs
+++ b/crates/engine/src/routing.rs
@@ -26,6 +26,9 @@
 
 pub use view::TargetView;
 
+/// Number of targets near and far that are looked at for one call. A service may have hundreds;
+/// the cost of a call must not grow with them. A service with fewer is looked at as a whole.
+const MAX_SAMPLED_TARGETS: usize = 32;
 /// Upper bound of the factor that a slower target's score is multiplied by, so that a full fast
 /// target still scores worse than a slow idle one.
 const MAX_SLOWNESS_FACTOR: f64 = 2.0;
@@ -54,8 +57,8 @@
 /// The result of selecting among the targets of a service.
 #[derive(Debug, Clone, Copy)]
 struct TargetSelection {
-    /// Index into the target list of the service.
-    index: usize,
+    /// Place among the targets of the service.
+    index: table::TargetIndex,
     /// Longest queue wait for which no other compared target is better.
     max_queue_wait: Option<Duration>,
     /// Shortest known run time among the compared targets.
@@ -64,7 +67,7 @@
 
 impl TargetSelection {
     /// Returns a selection that was compared with no alternative.
-    fn without_alternative(index: usize) -> Self {
+    fn without_alternative(index: table::TargetIndex) -> Self {
         Self {
             index,
             max_queue_wait: None,
@@ -130,7 +133,7 @@
 /// A candidate target with the values that its score is computed from.
 #[derive(Debug, Clone, Copy)]
 struct ScoredTarget {
-    index: usize,
+    index: table::TargetIndex,
     /// Share of its calls that the target gets during its slow start.
     slow_start_share: f64,
     /// Requests per slot, including one more call.
@@ -171,7 +174,8 @@
         Some(selection) => selection,
         None => choose_any(state, request).map(TargetSelection::without_alternative)?,
     };
-    let target = &state.routing.table.of_service(request.service)[selection.index];
+    let targets = state.routing.table.of_service(request.service);
+    let target = targets.get(selection.index);
     let has_rollout = request.cohort != cohort::CallCohort::Any;
     let version = target.version.clone().filter(|_| has_rollout);
     Some(TargetCandidate {
@@ -186,16 +190,23 @@
 
 /// Returns the nearest healthy target whose pressure is within the spill limit, or else the one
 /// with the least pressure among all distances that the request allows.
-fn choose_healthy(state: &mut reducer::EngineState, request: &SelectionRequest) -> Option<usize> {
+fn choose_healthy(
+    state: &mut reducer::EngineState,
+    request: &SelectionRequest,
+) -> Option<table::TargetIndex> {
     let spill_pressure =
         state.settings.tunables.routing.spill_pressure_percent as f64 / settings::PERCENT;
-    let ejected = health::ejected_targets(state, request.service, request.spill);
+    let distances = distances(request);
+    let samples: Vec<Vec<table::TargetIndex>> = distances
+        .iter()
+        .map(|distance| sample(state, request, &[*distance]))
+        .collect();
+    let ejected = health::ejected_targets(state, request.service, &samples.concat());
     let mut best: Option<ScoredTarget> = None;
-    for distance in distances(request) {
+    for sampled in samples {
         let views = &state.routing.views;
-        let candidates = score_targets(state, request, |index, target| {
-            target.distance == distance
-                && target.is_reachable
+        let candidates = score_targets(state, request, &sampled, |index, target| {
+            target.is_reachable
                 && !ejected.contains(&index)
                 && views[&target.target].admits_call(state.now)
         });
@@ -216,12 +227,19 @@
 /// Selects among all targets as the last resort. A target that is ejected or whose node is
 /// unreachable may still run the call. Targets whose node could not be connected to a moment ago
 /// are left out, because the call would only wait there.
-fn choose_any(state: &mut reducer::EngineState, request: &SelectionRequest) -> Option<usize> {
+fn choose_any(
+    state: &mut reducer::EngineState,
+    request: &SelectionRequest,
+) -> Option<table::TargetIndex> {
     for distance in distances(request) {
         let views = &state.routing.views;
-        let candidates = score_targets(state, request, |_, target| {
-            target.distance == distance
-                && !views[&target.target].health.is_connect_failing(state.now)
+        let targets = state.routing.table.of_service(request.service);
+        let indexes: Vec<table::TargetIndex> = targets
+            .at_distance(distance)
+            .map(|(index, _)| index)
+            .collect();
+        let candidates = score_targets(state, request, &indexes, |_, target| {
+            !views[&target.target].health.is_connect_failing(state.now)
         });
         if let Some(chosen) = choose_of_two(state, &candidates) {
             return Some(chosen.index);
@@ -241,11 +259,29 @@
     distances
 }
 
-/// Returns the targets that satisfy `is_eligible` and the request, with the inputs of their scores.
+/// Returns the targets at some distances that are looked at for a call. A call that is limited to a
+/// few targets by a rollout looks at all.
+fn sample(
+    state: &mut reducer::EngineState,
+    request: &SelectionRequest,
+    distances: &[table::TargetDistance],
+) -> Vec<table::TargetIndex> {
+    let count = if request.cohort == cohort::CallCohort::Any {
+        MAX_SAMPLED_TARGETS
+    } else {
+        usize::MAX
+    };
+    let targets = state.routing.table.of_service(request.service);
+    targets.sample(distances, count, &mut state.random)
+}
+
+/// Returns those of the targets that satisfy `is_eligible` and the request, with the inputs of their
+/// scores.
 fn score_targets(
     state: &reducer::EngineState,
     request: &SelectionRequest,
-    is_eligible: impl Fn(usize, &table::ReadyTarget) -> bool,
+    indexes: &[table::TargetIndex],
+    is_eligible: impl Fn(table::TargetIndex, &table::ReadyTarget) -> bool,
 ) -> Vec<ScoredTarget> {
     let slow_start = state
         .dissemination
@@ -255,9 +291,9 @@
     let slow_start = Duration::from_millis(u64::from(slow_start));
     let half_life = settings::millis(state.settings.tunables.routing.load_half_life_ms);
     let service_load = state.routing.service_loads.of_service(request.service);
-    let targets = state.routing.table.of_service(request.service).iter();
+    let targets = state.routing.table.of_service(request.service);
+    let targets = indexes.iter().map(|index| (*index, targets.get(*index)));
     targets
-        .enumerate()
         .filter(|(index, target)| {
             is_eligible(*index, target)
                 && request.cohort.admits(target.cohort)
--- a/crates/engine/src/routing/expected_latency.rs
+++ b/crates/engine/src/routing/expected_latency.rs
@@ -11,7 +11,7 @@
 use rand::seq::IndexedRandom;
 
 use super::{SelectionRequest, TargetSelection, table};
-use crate::{admission, health, reducer, settings};
+use crate::{admission, health, reducer, routing, settings};
 
 /// Run time in seconds to assume if none of the compared targets has a measured one.
 const DEFAULT_RUN_TIME_S: f64 = 0.1;
@@ -25,8 +25,8 @@
 
 /// A compared target with its expected times in seconds.
 struct ExpectedTarget {
-    /// Index into the target list of the service.
-    index: usize,
+    /// Place among the targets of the service.
+    index: table::TargetIndex,
     /// Time until a slot is free.
     queue_wait_s: f64,
     /// Time until the response, including the penalties for utilisation and distance.
@@ -35,31 +35,47 @@
     run_time_s: Option<f64>,
 }
 
-/// Selects among the healthy and reachable targets; `None` if there is none.
+/// Distances of the targets in this data centre and of all others.
+const NEAR: &[table::TargetDistance] = &[table::TargetDistance::SameDataCentre];
+const FAR: &[table::TargetDistance] = &[
+    table::TargetDistance::SameRegion,
+    table::TargetDistance::Remote,
+];
+
+/// Selects among the healthy and reachable targets; `None` if none was found.
 pub(super) fn choose(
     state: &mut reducer::EngineState,
     request: &SelectionRequest,
 ) -> Option<TargetSelection> {
     let compared = state.settings.tunables.routing.compared as usize;
-    let ejected = health::ejected_targets(state, request.service, request.spill);
+    let near = routing::sample(state, request, NEAR);
+    let far = if request.spill {
+        routing::sample(state, request, FAR)
+    } else {
+        Vec::new()
+    };
+    let own_index = own_target_index(state, request);
+    let mut sampled = [near.as_slice(), &far].concat();
+    sampled.extend(own_index.filter(|index| !near.contains(index)));
+    let ejected = health::ejected_targets(state, request.service, &sampled);
     let now = state.now;
     let views = &state.routing.views;
     let targets = state.routing.table.of_service(request.service);
-    let is_eligible = |(index, target): &(usize, &table::ReadyTarget)| {
+    let is_eligible = |index: &table::TargetIndex| {
+        let target = targets.get(*index);
         target.is_reachable
-            && (request.spill || target.distance == table::TargetDistance::SameDataCentre)
             && !ejected.contains(index)
             && request.cohort.admits(target.cohort)
             && !request.attempted_targets.contains(&target.target)
             && views[&target.target].admits_call(now)
     };
-    let eligible = targets.iter().enumerate().filter(is_eligible);
-    let (near, far): (Vec<usize>, Vec<usize>) = eligible
-        .map(|(index, _)| index)
-        .partition(|index| targets[*index].distance == table::TargetDistance::SameDataCentre);
+    let own_index = own_index.filter(is_eligible);
+    let [near, far] = [near, far].map(|mut indexes| {
+        indexes.retain(is_eligible);
+        indexes
+    });
     let mut indexes = sample_by_capacity(state, request, &near, compared.div_ceil(2));
     indexes.extend(sample_by_capacity(state, request, &far, compared / 2));
-    let own_index = own_target_index(state, request).filter(|index| near.contains(index));
     indexes.extend(own_index.filter(|index| !indexes.contains(index)));
     let offer_cost_s = state.routing.offer_cost.seconds();
     let mut expected = estimate(state, request, &indexes);
@@ -81,12 +97,14 @@
 }
 
 /// Returns the index of the target that this node owns.
-fn own_target_index(state: &reducer::EngineState, request: &SelectionRequest) -> Option<usize> {
+fn own_target_index(
+    state: &reducer::EngineState,
+    request: &SelectionRequest,
+) -> Option<table::TargetIndex> {
     let instance = &state.settings.identity.instance;
     let targets = state.routing.table.of_service(request.service);
-    targets
-        .iter()
-        .position(|target| target.instance == *instance)
+    let mut own_targets = state.membership.targets.keys();
+    own_targets.find_map(|target| targets.find(instance, target))
 }
 
 /// Samples `count` of these targets without replacement, weighted by capacity: slots divided by
@@ -94,17 +112,17 @@
 fn sample_by_capacity(
     state: &mut reducer::EngineState,
     request: &SelectionRequest,
-    indexes: &[usize],
+    indexes: &[table::TargetIndex],
     count: usize,
-) -> Vec<usize> {
+) -> Vec<table::TargetIndex> {
     let mean_run_time_s = mean_run_time_s(state, request, indexes);
     let targets = state.routing.table.of_service(request.service);
-    let weight = |index: &usize| {
-        let target = &targets[*index];
+    let weight = |index: &table::TargetIndex| {
+        let target = targets.get(*index);
         f64::from(target.slots.max(1))
             / measured_run_time_s(state, request, target).unwrap_or(mean_run_time_s)
     };
-    let weights: Vec<(usize, f64)> = indexes
+    let weights: Vec<(table::TargetIndex, f64)> = indexes
         .iter()
         .map(|index| (*index, weight(index)))
         .collect();
@@ -132,10 +150,10 @@
 fn mean_run_time_s(
     state: &reducer::EngineState,
     request: &SelectionRequest,
-    indexes: &[usize],
+    indexes: &[table::TargetIndex],
 ) -> f64 {
     let targets = state.routing.table.of_service(request.service);
-    let compared = indexes.iter().map(|index| &targets[*index]);
+    let compared = indexes.iter().map(|index| targets.get(*index));
     let measured: Vec<f64> = compared
         .filter_map(|target| measured_run_time_s(state, request, target))
         .collect();
@@ -150,7 +168,7 @@
 fn estimate(
     state: &reducer::EngineState,
     request: &SelectionRequest,
-    indexes: &[usize],
+    indexes: &[table::TargetIndex],
 ) -> Vec<ExpectedTarget> {
     let half_life = settings::millis(state.settings.tunables.routing.load_half_life_ms);
     let targets = state.routing.table.of_service(request.service);
@@ -161,8 +179,8 @@
     let transfer_s = settings::millis(tunables.far_kilobyte_ms).as_secs_f64() * transfer_kilobytes;
     let mean_run_time_s = mean_run_time_s(state, request, indexes);
     let offer_cost_s = state.routing.offer_cost.seconds();
-    let estimate_one = |index: &usize| {
-        let target = &targets[*index];
+    let estimate_one = |index: &table::TargetIndex| {
+        let target = targets.get(*index);
         let view = &state.routing.views[&target.target];
         let measured_s = measured_run_time_s(state, request, target);
         let run_time_s = measured_s.unwrap_or(mean_run_time_s);
