Quarantine: a crash is passed on, not told to everybody by one node

It now tells 32 nodes; in a larger fleet each node to which a crash is new passes it on to its gossip partners with its next tick. A fleet of up to 33 nodes sends what it sent. Reports of one crash may come by several ways, so those within 1.5 s count as one. The gossip partners are selected at most ten times a second while members come and go; each selection looks at all.

Test: quarantine::crash_told_to_everybody, 60 and 210 nodes, five requests: each node knows of them within 0.6 s and sends 30 messages at the most, the owner node its 32 for each.

--- a/crates/engine/src/membership.rs
+++ b/crates/engine/src/membership.rs
@@ -175,6 +175,11 @@
         identities.find(|identity| identity.address == address)
     }
 
+    /// Returns the peer addresses of the gossip partners.
+    pub fn partner_addresses(&self) -> impl Iterator<Item = SocketAddr> {
+        self.partners.partners.values().copied()
+    }
+
     /// Returns the other members that have neither left nor been forgotten.
     pub fn others(&self) -> impl Iterator<Item = &table::KnownMember> {
         self.members.values().filter(|member| member.is_present())
--- a/crates/engine/src/membership/partners.rs
+++ b/crates/engine/src/membership/partners.rs
@@ -7,9 +7,9 @@
 //! Between two data centres, `BRIDGES_PER_CENTRE` members on each side, selected by hash, are
 //! paired one to one.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
-use hazeltiller_units::ids;
+use hazeltiller_units::{ids, time};
 use hazeltiller_wire::membership as wire;
 use indexmap::{IndexMap, IndexSet};
 
@@ -18,6 +18,9 @@
     reducer,
 };
 
+/// Minimum time between two selections. Each looks at every member, and while a fleet starts the
+/// members change with every message.
+const SELECTION_PERIOD: Duration = Duration::from_millis(100);
 /// Number of members of a data centre that gossip with each other data centre.
 const BRIDGES_PER_CENTRE: usize = 2;
 
@@ -28,6 +31,8 @@
     pub partners: IndexMap<ids::InstanceName, SocketAddr>,
     /// Whether the members changed since the partners were selected.
     pub is_stale: bool,
+    /// Earliest time of the next selection.
+    next_selection: time::MonotonicTime,
 }
 
 impl Default for PartnerSet {
@@ -35,13 +40,16 @@
         Self {
             partners: IndexMap::new(),
             is_stale: true,
+            next_selection: time::MonotonicTime::default(),
         }
     }
 }
 
 /// Selects the partners again if the members changed.
 pub fn refresh(state: &mut reducer::EngineState) {
-    if !state.membership.partners.is_stale {
+    let current = &state.membership.partners;
+    let is_early = state.now < current.next_selection && !current.partners.is_empty();
+    if !current.is_stale || is_early {
         return;
     }
     let ring_count = state.settings.tunables.membership.gossip_fan_out;
@@ -49,6 +57,7 @@
     state.membership.partners = PartnerSet {
         partners,
         is_stale: false,
+        next_selection: state.now + SELECTION_PERIOD,
     };
 }
 
--- a/crates/engine/src/quarantine.rs
+++ b/crates/engine/src/quarantine.rs
@@ -1,7 +1,9 @@
 //! Quarantine of requests that crash the targets that run them.
 //!
 //! When a target crashes, its owner node attributes the crash to every request that was in flight
-//! there, and tells every other node. A request with one attributed crash runs isolated at a target
+//! there, and tells a few other nodes. In a fleet that has more, each node to which a crash is new
+//! passes it on to its gossip partners, so that no node has to open a link to every other one. A
+//! request with one attributed crash runs isolated at a target
 //! from then on, so that no further request has a crash attributed because of it. A request with
 //! two crashes is refused for a time.
 
@@ -10,13 +12,20 @@
 use hazeltiller_units::{code, ids, time};
 use hazeltiller_wire::{calls as wire_calls, ledger as wire_ledger, message, quarantine as wire};
 use indexmap::IndexMap;
+use rand::seq::IteratorRandom;
 
 use crate::{event, reducer, settings};
 
 /// Number of crashes from which a request is refused.
 const QUARANTINE_CRASHES: u32 = 2;
-/// Reports of a crash of the same target within this time count as one crash.
-const SAME_CRASH_WINDOW: Duration = Duration::from_millis(250);
+/// Reports of a crash of the same target within this time count as one crash. They may come over
+/// several nodes; a target that has crashed is back only after some seconds.
+const SAME_CRASH_WINDOW: Duration = Duration::from_millis(1500);
+/// Number of nodes that the owner node of a crashed target tells itself.
+const MAX_TOLD_NODES: usize = 32;
+/// Maximum number of crashes that a node passes on in one message; the rest follow with the next
+/// tick.
+const MAX_PASSED_ON: usize = 64;
 
 /// Retry delay for a call that could not be isolated, in milliseconds.
 const RETRY_AFTER_MS: u32 = 200;
@@ -55,6 +64,8 @@
     attributions: IndexMap<wire_ledger::RequestDigest, CrashAttribution>,
     /// Isolated calls of suspect requests, by the target that runs them.
     isolated: IndexMap<ids::TargetName, ids::CallId>,
+    /// Crashes that are passed on to the gossip partners with the next tick.
+    pending: Vec<wire::CrashRecord>,
 }
 
 impl QuarantineState {
@@ -71,12 +82,13 @@
     }
 
     /// Attributes a crash to its request. If `max_requests` are remembered, the oldest is evicted.
+    /// Returns whether the crash was new.
     fn record_crash(
         &mut self,
         crash: &wire::CrashRecord,
         now: time::MonotonicTime,
         max_requests: usize,
-    ) {
+    ) -> bool {
         if let Some(attribution) = self.attributions.get_mut(&crash.request) {
             let is_same_crash = attribution.last_target == crash.target
                 && now.since(attribution.last_crash_at) < SAME_CRASH_WINDOW;
@@ -85,7 +97,7 @@
                 attribution.last_target = crash.target.clone();
                 attribution.last_crash_at = now;
             }
-            return;
+            return !is_same_crash;
         }
         if self.attributions.len() >= max_requests {
             self.attributions.shift_remove_index(0);
@@ -96,6 +108,7 @@
             last_crash_at: now,
         };
         self.attributions.insert(crash.request, attribution);
+        true
     }
 }
 
@@ -156,8 +169,9 @@
     }
 }
 
-/// Drops crashes that no longer count.
-pub fn tick(state: &mut reducer::EngineState) {
+/// Passes crashes on, and drops those that no longer count.
+pub fn tick(state: &mut reducer::EngineState, output: &mut event::ReducerOutput) {
+    pass_on(state, output);
     let now = state.now;
     let tunables = &state.settings.tunables.quarantine;
     let retention = settings::millis(tunables.refuse_ms.max(tunables.suspect_ms));
@@ -165,7 +179,22 @@
     attributions.retain(|_, attribution| now.since(attribution.last_crash_at) < retention);
 }
 
-/// Records a crash of an own target, and sends it to every other node at once.
+/// Sends the crashes that were new here to the gossip partners.
+fn pass_on(state: &mut reducer::EngineState, output: &mut event::ReducerOutput) {
+    let pending = &mut state.quarantine.pending;
+    if pending.is_empty() {
+        return;
+    }
+    let crashes: Vec<wire::CrashRecord> =
+        pending.drain(..pending.len().min(MAX_PASSED_ON)).collect();
+    let message = wire::QuarantineMessage { crashes };
+    for to in state.membership.partner_addresses() {
+        output.send(to, message::PeerMessage::Quarantine(message.clone()));
+    }
+}
+
+/// Records a crash of an own target, and sends it to other nodes at once: to all of them, or to a
+/// random sample that passes it on.
 pub fn handle_event(
     state: &mut reducer::EngineState,
     event: QuarantineEvent,
@@ -173,25 +202,31 @@
 ) {
     let QuarantineEvent::Crashed(crash) = event;
     let max_requests = state.settings.tunables.quarantine.blamed as usize;
-    state
-        .quarantine
-        .record_crash(&crash, state.now, max_requests);
+    let quarantine = &mut state.quarantine;
+    quarantine.record_crash(&crash, state.now, max_requests);
+    if state.membership.node_count > MAX_TOLD_NODES + 1 {
+        quarantine.pending.push(crash.clone());
+    }
     let crashes = vec![crash];
     let message = wire::QuarantineMessage { crashes };
-    for member in state.membership.others() {
-        if member.record.identity.is_node {
-            let to = member.record.identity.address;
-            output.send(to, message::PeerMessage::Quarantine(message.clone()));
-        }
+    let others = state.membership.others();
+    let nodes = others.filter(|member| member.record.identity.is_node);
+    let told = nodes.sample(&mut state.random, MAX_TOLD_NODES);
+    for member in told {
+        let to = member.record.identity.address;
+        output.send(to, message::PeerMessage::Quarantine(message.clone()));
     }
 }
 
 /// Records the crashes that another node reports.
 pub fn receive(state: &mut reducer::EngineState, message: &wire::QuarantineMessage) {
     let max_requests = state.settings.tunables.quarantine.blamed as usize;
+    let passes_on = state.membership.node_count > MAX_TOLD_NODES + 1;
     for crash in &message.crashes {
-        state
-            .quarantine
-            .record_crash(crash, state.now, max_requests);
+        let quarantine = &mut state.quarantine;
+        let is_new = quarantine.record_crash(crash, state.now, max_requests);
+        if is_new && passes_on {
+            quarantine.pending.push(crash.clone());
+        }
     }
 }
--- a/crates/engine/src/reducer.rs
+++ b/crates/engine/src/reducer.rs
@@ -100,7 +100,7 @@
             membership::tick(state, output);
             calls::tick(state, output);
             ledger::tick(state, output);
-            quarantine::tick(state);
+            quarantine::tick(state, output);
             health::tick(state, output);
             rollout::tick(state, output);
             allowance::tick(state, output);
--- a/crates/engine/tests/quarantine.rs
+++ b/crates/engine/tests/quarantine.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use hazeltiller_engine::{calls, event, quarantine};
-use hazeltiller_testkit::node;
+use hazeltiller_engine::{calls, event, quarantine, settings};
+use hazeltiller_testkit::{node, reducers};
 use hazeltiller_units::{code, ids};
 use hazeltiller_wire::{
     calls as wire, ledger::RequestDigest, message, quarantine as wire_quarantine,
@@ -134,3 +134,43 @@
     let refusal = offer(&mut other, 20, 1).expect("crashes of all nodes count");
     assert_eq!(refusal.code, code::ResultCode::RequestQuarantined);
 }
+
+/// The owner node of a crashed target sent a message to every other node, for each request that was
+/// in flight, and opened a link to each.
+#[test]
+fn crash_told_to_everybody() {
+    for per_centre in [20, 70] {
+        let controls = [("control-1", "brasov-a"), ("control-2", "sibiu-a")];
+        let tunables = settings::EngineTunables::default();
+        let mut fleet = reducers::ReducerFleet::new(9, tunables, &controls);
+        for centre in ["brasov-a", "sibiu-a", "cluj-a"] {
+            fleet.add_nodes(centre, per_centre);
+        }
+        fleet.run(Duration::from_secs(7));
+        fleet.clear_counts();
+        fleet.counts_bytes = true;
+        for request in 0..5 {
+            let crashed = quarantine::QuarantineEvent::Crashed(crash(request, "first"));
+            fleet.inject("sibiu-a-3", event::Event::Quarantine(crashed));
+        }
+        fleet.run(Duration::from_millis(600));
+        let nodes = fleet.running_nodes();
+        for name in &nodes {
+            let process = &fleet.processes[name];
+            let sent = process.sent.get(&message::TrafficCategory::Claims);
+            let frames = sent.map_or(0, |(frames, _bytes)| *frames);
+            let most = if name == "sibiu-a-3" { 5 * 32 + 30 } else { 30 };
+            assert!(frames <= most, "{name} of {} sends {frames}", nodes.len());
+            for request in 0..5 {
+                let digest = RequestDigest([request; 16]);
+                let standing = quarantine::standing(&process.state, Some(&digest));
+                assert_eq!(
+                    standing,
+                    quarantine::CrashSuspicion::Suspect,
+                    "{name} of {}: one crash",
+                    nodes.len()
+                );
+            }
+        }
+    }
+}
--- a/crates/engine/tests/target_table.rs
+++ b/crates/engine/tests/target_table.rs
@@ -172,7 +172,11 @@
         fleet.node.state.routing.table = table::TargetTable::default();
         fleet.refresh();
         assert_eq!(followed, fleet.targets(), "round {round}");
-        assert_eq!(views, followed.len(), "round {round}: a view for each target");
+        assert_eq!(
+            views,
+            followed.len(),
+            "round {round}: a view for each target"
+        );
     }
 }
 
@@ -203,7 +207,9 @@
                 *counts.entry(plan.candidate.target).or_default() += 1;
             }
         }
-        fleet.node.call(calls::CallEvent::Finished(ids::CallId(call)));
+        fleet
+            .node
+            .call(calls::CallEvent::Finished(ids::CallId(call)));
     }
     let near: Vec<u32> = fleet
         .targets()
@@ -212,11 +218,21 @@
         .filter_map(|target| counts.get(&target.target).copied())
         .collect();
     let mean = CALLS as f64 / near.len() as f64;
-    assert!(near.len() >= 140, "{} targets of the own data centre", near.len());
+    assert!(
+        near.len() >= 140,
+        "{} targets of the own data centre",
+        near.len()
+    );
     let most = near.iter().max().copied().unwrap_or(0);
     let least = near.iter().min().copied().unwrap_or(0);
-    assert!(f64::from(most) < mean * 1.8, "{most} at the most, {mean} on average");
-    assert!(f64::from(least) > mean * 0.4, "{least} at the least, {mean} on average");
+    assert!(
+        f64::from(most) < mean * 1.8,
+        "{most} at the most, {mean} on average"
+    );
+    assert!(
+        f64::from(least) > mean * 0.4,
+        "{least} at the least, {mean} on average"
+    );
 }
 
 #[test]
