Links between nodes: small windows, and rumours that carry a share of the queue

Windows of 32 KB a stream and 1 MB a connection between nodes, where 2 and 5 MB were allowed: what is under way on a narrow link delays all heads behind it, and callers that do not read their large responses filled the connection for all others (streaming::stalled_callers). The allowance's answer is awaited for 300 ms, and the list of organisations shows limits and numbers of keys.

--- a/benches/balancing.rs
+++ b/benches/balancing.rs
@@ -1,7 +1,8 @@
 //! Load balancing: latency with one slow target, by balancing policy, and processor time of the
 //! reducer per call.
 //!
-//! Run with `cargo bench --bench balancing`; prints one JSON line per result.
+//! Run with `cargo bench --bench balancing`; prints one JSON line per result. With `-- large`, only
+//! the reducer with a service of hundreds of targets is measured.
 
 use std::time::{Duration, Instant};
 
@@ -28,6 +29,12 @@
     if !std::env::args().any(|argument| argument == "--bench") {
         return;
     }
+    for members in [300, 1000, 2000] {
+        measure_large_service(members);
+    }
+    if std::env::args().any(|argument| argument == "large") {
+        return;
+    }
     for load in [0.3, 0.5, 0.7, 0.85] {
         for ingresses in [20, 200] {
             for seed in [1, 2, 3] {
@@ -101,6 +108,40 @@
     }
 }
 
+/// Measures the reducer's processor time per call at one service with a target at each of its
+/// members, and per call while one member's record changes between two calls.
+fn measure_large_service(members: usize) {
+    const CALLS: u64 = 2000;
+    let mut node = node::NodeReducer::new("node-own", "centre-0", &entries());
+    node.state.settings.tunables.routing.compared = 3;
+    let publish = |node: &mut node::NodeReducer, number: usize, sequence: u64| {
+        let data_centre = format!("centre-{}", number % 6);
+        let identity = node::identity(&format!("node-{number}"), &data_centre, "ro-centru");
+        let target = node::target(&format!("target-{number}"), "registru", 8);
+        node.receive_record(&identity, sequence, vec![target]);
+    };
+    for number in 0..members {
+        publish(&mut node, number, 1);
+    }
+    let mut microseconds = Vec::new();
+    for changes in [false, true] {
+        let started = Instant::now();
+        for number in 0..CALLS {
+            if changes {
+                publish(&mut node, number as usize % members, 2 + number);
+            }
+            let call = ids::CallId(number);
+            node.now = node.now + Duration::from_millis(400);
+            node.call(calls::CallEvent::Arrived(node::arrival(number, "/7")));
+            node.call(calls::CallEvent::Finished(call));
+        }
+        microseconds.push(started.elapsed().as_secs_f64() * 1e6 / CALLS as f64);
+    }
+    let line = json!({"bench": "large_service", "members": members,
+        "call_us": microseconds[0], "call_and_change_us": microseconds[1]});
+    println!("{line}");
+}
+
 /// Measures the reducer's processor time per call at the size that the system is designed for:
 /// 1,400 nodes and 56 services with 40 routes each.
 fn measure_reducer() {
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -15,7 +15,7 @@
     time,
 };
 
-use crate::{drain, handshake, links, listener, owner, process, questions};
+use crate::{drain, handshake, links, listener, owner, pool, process, questions};
 
 /// Time for which a stopping node keeps a connection open after its last response, so that the peer
 /// receives the end of that response.
@@ -132,6 +132,8 @@
     server
         .timer(rt::TokioTimer::new())
         .max_header_list_size(context.request_tunables.head_bytes as u32 + ADDED_HEADER_BYTES)
+        .initial_stream_window_size(pool::STREAM_WINDOW_BYTES)
+        .initial_connection_window_size(pool::CONNECTION_WINDOW_BYTES)
         .max_concurrent_streams(4096);
     let in_flight = context.drain.in_flight();
     let connection = server.serve_connection(rt::TokioIo::new(stream), service);
--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -5,7 +5,7 @@
 mod nodes;
 mod targets;
 
-pub use nodes::NodePool;
+pub use nodes::{CONNECTION_WINDOW_BYTES, NodePool, STREAM_WINDOW_BYTES};
 pub use targets::{TargetPool, is_listening};
 
 /// Why a request got no response.
--- a/crates/daemon/src/pool/nodes.rs
+++ b/crates/daemon/src/pool/nodes.rs
@@ -43,6 +43,14 @@
 /// address is enough to detect that a machine is back.
 const REDIAL_BACKOFF: Duration = Duration::from_millis(200);
 
+/// Bytes of one response, or of one request body, that may be under way on a connection between two
+/// nodes. Whatever is under way on a narrow link delays all heads behind it: six large responses of
+/// 2 MB each, the default, take nine seconds at 11 Mbit/s.
+pub const STREAM_WINDOW_BYTES: u32 = 32 * 1024;
+/// Bytes of all streams that may be under way on a connection between two nodes. Large enough that
+/// the callers that do not read their responses do not hold up those of others.
+pub const CONNECTION_WINDOW_BYTES: u32 = 1024 * 1024;
+
 /// Distinguishes a request that the other node did not process from one that may have run.
 ///
 /// A request was not processed if it fails with GOAWAY and `NO_ERROR` or with `REFUSED_STREAM`. A
@@ -271,6 +279,8 @@
     let mut builder = http2::Builder::new(executor);
     builder
         .timer(rt::TokioTimer::new())
+        .initial_stream_window_size(STREAM_WINDOW_BYTES)
+        .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
         .keep_alive_interval(KEEPALIVE_INTERVAL)
         .keep_alive_timeout(keepalive_timeout);
     let opened = builder.handshake(rt::TokioIo::new(stream)).await;
--- a/crates/engine/src/membership/gossip.rs
+++ b/crates/engine/src/membership/gossip.rs
@@ -18,8 +18,12 @@
     reducer, settings,
 };
 
-/// Maximum number of records, and of suspicions, in one rumour.
-const MAX_RUMOUR_ITEMS: usize = 10;
+/// Number of pending records, and of suspicions, that one rumour carries at least.
+const MIN_RUMOUR_ITEMS: usize = 10;
+/// Part of the pending records, and of the suspicions, that one rumour carries at least. A queue of any
+/// length is thus sent within some tens of ticks: after a loss of all power every record of the
+/// fleet is pending on every node.
+const RUMOUR_DIVISOR: usize = 8;
 /// Number of members named to a process that joins.
 const INTRODUCED_MEMBERS: usize = 3;
 /// Number of introduced members that the joining process synchronizes with. One alone may have
@@ -130,9 +134,9 @@
     {
         return;
     }
-    let count = membership.rumours.len().min(MAX_RUMOUR_ITEMS);
+    let count = rumour_items(membership.rumours.len());
     let names: Vec<ids::InstanceName> = membership.rumours.drain(..count).collect();
-    let count = membership.suspicions.len().min(MAX_RUMOUR_ITEMS);
+    let count = rumour_items(membership.suspicions.len());
     let suspicions: Vec<wire::MemberSuspicion> = membership
         .suspicions
         .drain(..count)
@@ -149,6 +153,14 @@
     }
 }
 
+/// Returns how many of the pending items the next rumour carries.
+fn rumour_items(pending: usize) -> usize {
+    pending
+        .div_ceil(RUMOUR_DIVISOR)
+        .max(MIN_RUMOUR_ITEMS)
+        .min(pending)
+}
+
 /// Probes all partners once per gossip period.
 fn probe(state: &mut reducer::EngineState, output: &mut event::ReducerOutput) {
     if state.now < state.membership.timers.next_probe {
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -275,7 +275,7 @@
         grant_life_ms = 1000, 10..=60_000;
         /// Maximum time that a request waits for the home's answer, in milliseconds. After that
         /// the node lets requests pass up to a share of its own.
-        answer_ms = 150, 10..=10_000;
+        answer_ms = 300, 10..=10_000;
         /// Requests beyond an organisation's burst that its home may grant at once. A home that has
         /// just taken over starts with them.
         spare = 0, 0..=100_000;
--- a/src/commands/read.rs
+++ b/src/commands/read.rs
@@ -91,6 +91,12 @@
             return Ok(());
         }
         println!("version {}", document["version"]);
+        if self.kind == Some(entry::EntryKind::Organisation) {
+            for line in format_table(&organisation_rows(&document), &ORGANISATION_COLUMNS) {
+                println!("{line}");
+            }
+            return Ok(());
+        }
         let columns = ["kind", "name", "owner", "class"];
         for line in format_table(rows(&document, "entries"), &columns) {
             println!("{line}");
@@ -153,6 +159,23 @@
     Ok(())
 }
 
+/// Columns of the list of organisations.
+const ORGANISATION_COLUMNS: [&str; 6] = ["name", "owner", "call_class", "rate", "burst", "keys"];
+
+/// Returns the organisations of a catalogue document with their limits and numbers of keys.
+fn organisation_rows(document: &Value) -> Vec<Value> {
+    let entries = rows(document, "entries").iter();
+    entries
+        .map(|entry| {
+            serde_json::json!({
+                "name": entry["name"], "owner": entry["owner"], "call_class": entry["call_class"],
+                "rate": entry["limits"]["rate"], "burst": entry["limits"]["burst"],
+                "keys": entry["keys"].as_array().map_or(0, Vec::len),
+            })
+        })
+        .collect()
+}
+
 fn rows<'a>(document: &'a Value, key: &str) -> &'a [Value] {
     document[key].as_array().map_or(&[], Vec::as_slice)
 }
--- a/tests/all/streaming.rs
+++ b/tests/all/streaming.rs
@@ -323,3 +323,58 @@
         "each run uses one connection"
     );
 }
+
+/// Answers requests for `/vehicles/small` and starts an endless response to all others.
+async fn serve_endless(listener: TcpListener) {
+    while let Ok((mut stream, _from)) = listener.accept().await {
+        tokio::spawn(async move {
+            let mut head = vec![0; 4096];
+            let length = stream.read(&mut head).await.unwrap_or(0);
+            let is_small = head[..length].starts_with(b"GET /vehicles/small");
+            if is_small {
+                let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+                drop(stream.write_all(answer).await);
+                return;
+            }
+            let head = b"HTTP/1.1 200 OK\r\ncontent-length: 1000000000\r\n\r\n";
+            drop(stream.write_all(head).await);
+            while stream.write_all(&[0; 8192]).await.is_ok() {}
+        });
+    }
+}
+
+/// Callers that did not read their large responses filled the connection between two nodes, and the
+/// responses to other callers waited behind them until their deadlines.
+#[tokio::test(flavor = "multi_thread")]
+async fn stalled_callers() {
+    const STALLED_CALLERS: usize = 8;
+    let mut fleet = support::start_small_fleet().await;
+    fleet.add_node("brasov-a", "node-2").await;
+    fleet.start(&["node-2"], &[]).await;
+    fleet.wait_version(&["node-2"], 1).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("the listener is bound");
+    tokio::spawn(serve_endless(listener));
+    let owner_node = fleet.instance("node-1").addresses["target"];
+    raw::announce(owner_node, "endless", address, "ready").await;
+    let callers = fleet.instance("node-2").addresses["callers"];
+    let mut stalled = Vec::new();
+    for _ in 0..STALLED_CALLERS {
+        let started = wait::until("the start of a response", || async {
+            let mut stream = TcpStream::connect(callers).await.ok()?;
+            let request = b"GET /vehicles/endless HTTP/1.1\r\nhost: a\r\n\r\n";
+            stream.write_all(request).await.ok()?;
+            let mut line = [0; 15];
+            stream.read_exact(&mut line).await.ok()?;
+            (line.as_slice() == b"HTTP/1.1 200 OK").then_some(stream)
+        });
+        stalled.push(started.await);
+    }
+    // Time for the responses to fill all buffers on their way.
+    time::sleep(Duration::from_secs(1)).await;
+    let request = "GET /vehicles/small HTTP/1.1\r\nhost: a\r\nhazeltiller-deadline-ms: 2000\r\n\
+        connection: close\r\n\r\n";
+    let response = raw::exchange_bytes(callers, request).await;
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    drop(stalled);
+}
