Admission: a route's calls are held to its target latency whatever the class of the organisation

The eight targets' links of 11 Mbit/s carry 122 of them a second where 135 come. Calls of the lowest route were in the class of their organisation, mostly a better one, so they were kept until the deadline of 2 s instead of the target latency of 1.5 s, and used up the link without a result. Whether a call is held to the target latency now follows its route's class too; the order of service follows the organisation's as before. Without organisations nothing changes.

--- a/crates/catalogue/src/state.rs
+++ b/crates/catalogue/src/state.rs
@@ -127,6 +127,14 @@
         }
     }
 
+    /// Returns the route with a name.
+    pub fn route(&self, name: &ids::EntryName) -> Option<&entry::RouteEntry> {
+        match self.find(entry::EntryKind::Route, name) {
+            Some(entry::CatalogueEntry::Route(entry)) => Some(entry),
+            _ => None,
+        }
+    }
+
     /// Returns all routes, ordered by name.
     pub fn routes(&self) -> impl Iterator<Item = &entry::RouteEntry> {
         self.entries.values().filter_map(|entry| match entry {
--- a/crates/engine/src/admission.rs
+++ b/crates/engine/src/admission.rs
@@ -323,6 +323,7 @@
     let params = scheduling_params(state, offer);
     let useful_time = latency::useful_time(state, offer);
     let is_lowest = latency::is_lowest_priority(state, offer);
+    let is_held = latency::is_held_to_latency(state, offer);
     let is_overdue = latency::is_overdue(state, offer);
     let max_class_wait = max_queue_time(state, offer);
     let now = state.now;
@@ -363,7 +364,7 @@
         return AdmissionDecision::Refuse(refusal::deadline_refusal(state, offer, wait));
     }
     let release_interval = admission.estimate.time_for(1.0, slots);
-    let admissible_wait = if is_lowest {
+    let admissible_wait = if is_held {
         let standing = admission.standing;
         standing.max_queue_wait(useful_wait, release_interval, now)
     } else {
--- a/crates/engine/src/routing/index.rs
+++ b/crates/engine/src/routing/index.rs
@@ -59,6 +59,8 @@
     by_host: IndexMap<String, HostRoutes>,
     any_host: HostRoutes,
     /// Highest class rank among the routes to each service.
+    max_route_ranks: IndexMap<ids::EntryName, u32>,
+    /// Highest class rank among the calls to each service, those of organisations included.
     max_ranks: IndexMap<ids::EntryName, u32>,
 }
 
@@ -80,10 +82,11 @@
             routes.insert(&route.matches.path_prefix, position);
             let rank = catalogue.class(&route.class).map_or(0, |class| class.rank);
             for (service, _weight) in route.parts() {
-                let max_rank = index.max_ranks.entry(service.clone()).or_default();
+                let max_rank = index.max_route_ranks.entry(service.clone()).or_default();
                 *max_rank = rank.max(*max_rank);
             }
         }
+        index.max_ranks = index.max_route_ranks.clone();
         // Organisations may call every service, in a class of their own.
         let call_classes = catalogue
             .organisations()
@@ -95,8 +98,13 @@
         index
     }
 
-    /// Returns the highest rank, which is served last, among the classes that have a route to a
-    /// service.
+    /// Returns the highest rank, which is served last, among the classes of the routes to a service.
+    pub fn max_route_rank(&self, service: &ids::EntryName) -> Option<u32> {
+        self.max_route_ranks.get(service).copied()
+    }
+
+    /// Returns the highest rank, which is served last, among the classes that calls to a service may
+    /// have.
     pub fn max_rank(&self, service: &ids::EntryName) -> Option<u32> {
         self.max_ranks.get(service).copied()
     }
