--- a/crates/engine/src/routing/index.rs
+++ b/crates/engine/src/routing/index.rs
@@ -86,7 +86,7 @@
                 *max_rank = rank.max(*max_rank);
             }
         }
-        index.max_ranks = index.max_route_ranks.clone();
+        index.max_ranks.clone_from(&index.max_route_ranks);
         // Organisations may call every service, in a class of their own.
         let call_classes = catalogue
             .organisations()
