Peers: a response counts as sent when the link has taken it

Up to 400 KB of a response were buffered behind the link of the target's node. Its slot was free and its run over while most of the response was still to be sent, so that a narrow link was given more than it carries; and a node that stopped closed the link 0.3 s after the last response was buffered. The buffer is as large as a stream's window now.

--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -134,6 +134,9 @@
         .max_header_list_size(context.request_tunables.head_bytes as u32 + ADDED_HEADER_BYTES)
         .initial_stream_window_size(pool::STREAM_WINDOW_BYTES)
         .initial_connection_window_size(pool::CONNECTION_WINDOW_BYTES)
+        // What is buffered here counts as sent: its target's slot is free for the next response,
+        // and a stopping node waits for no more than the final flush.
+        .max_send_buf_size(pool::STREAM_WINDOW_BYTES as usize)
         .max_concurrent_streams(4096);
     let in_flight = context.drain.in_flight();
     let connection = server.serve_connection(rt::TokioIo::new(stream), service);
