--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -18,8 +18,8 @@
 use crate::{drain, handshake, links, listener, owner, pool, process, questions};
 
 /// Time for which a stopping node keeps a connection open after its last response, so that the peer
-/// receives the end of that response.
-const FINAL_FLUSH_TIME: Duration = Duration::from_millis(300);
+/// receives the end of that response: what is buffered and under way on a narrow link.
+const FINAL_FLUSH_TIME: Duration = Duration::from_millis(1000);
 
 /// Allowance for the headers that a node adds to those of a caller, in bytes.
 const ADDED_HEADER_BYTES: u32 = 8192;
--- a/tests/all/streaming.rs
+++ b/tests/all/streaming.rs
@@ -4,7 +4,8 @@
 use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use hazeltiller_testkit::wait;
+use hazeltiller_standin::behaviour;
+use hazeltiller_testkit::{proxy, wait};
 use http_body_util::{BodyExt, Full, StreamBody, channel, combinators::UnsyncBoxBody};
 use hyper::{
     HeaderMap, Request, Response,
@@ -378,3 +379,38 @@
     assert!(response.starts_with("HTTP/1.1 200"), "{response}");
     drop(stalled);
 }
+
+/// A node that stopped closed its links a moment after the last response was buffered, and cut it
+/// where the link was slow.
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_on_slow_link() {
+    const BODY_BYTES: usize = 300_000;
+    const LINK_BYTES_PER_S: usize = 400_000;
+    let mut fleet = support::start_small_fleet().await;
+    fleet.add_node("brasov-a", "node-2").await;
+    fleet.start(&["node-2"], &[]).await;
+    fleet.wait_version(&["node-2"], 1).await;
+    let behaviour = behaviour::StandInBehaviour {
+        answer_bytes: BODY_BYTES,
+        ..behaviour::StandInBehaviour::default()
+    };
+    let _target = support::start_stand_in_with(&mut fleet, "node-1", "large", behaviour).await;
+    support::wait_for_routing(&fleet, "node-2").await;
+    fleet.set_pair_rule(
+        "node-1",
+        "node-2",
+        proxy::FaultRule::Throttle(LINK_BYTES_PER_S),
+    );
+    let callers = fleet.instance("node-2").addresses["callers"];
+    let request = "GET /vehicles/2 HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+    let response = tokio::spawn(raw::exchange_bytes(callers, request));
+    time::sleep(Duration::from_millis(200)).await;
+    assert_eq!(fleet.stop("node-1").await, Some(0));
+    let response = response.await.expect("the caller does not panic");
+    assert!(response.starts_with("HTTP/1.1 200"), "{}", &response[..60]);
+    assert!(
+        response.len() > BODY_BYTES,
+        "{} bytes of the response",
+        response.len()
+    );
+}
