Signals: a node reads and logs the rate limit and the leaving notice of its targets

The logs of the incident could not tell a limit that nobody reads from one that is read and lost or counted in part: no line said what a target had named. The dialects decode both signals, the engine keeps them for each incarnation of an own target, and a line tells when one is first named, changes, ends or is malformed, with the request whose response brought it. Nothing is decided by them yet.

--- a/crates/daemon/src/dialect.rs
+++ b/crates/daemon/src/dialect.rs
@@ -10,8 +10,8 @@
 use std::{sync::Arc, time::Duration};
 
 use hazeltiller_catalogue::{change, rollout};
-use hazeltiller_engine::membership;
-use hazeltiller_units::{code, ids};
+use hazeltiller_engine::{membership, signals};
+use hazeltiller_units::{code, ids, measure};
 use hazeltiller_wire::calls as wire;
 use hyper::{HeaderMap, Method, Response, body::Bytes};
 use snafu::Snafu;
@@ -87,6 +87,9 @@
         metadata: &AttemptMetadata,
     ) -> ResponseVerdict;
 
+    /// Decodes the signals in the head of a target's response.
+    fn read_signals(&self, headers: &HeaderMap) -> signals::ResponseSignals;
+
     /// Adds the headers meant for the caller to a response that is passed on.
     fn set_caller_headers(&self, headers: &mut HeaderMap, request: &ids::RequestId);
 
@@ -239,3 +242,36 @@
         .map_or("", |(_, key)| key.trim());
     Ok(Some(key.into()))
 }
+
+/// Value of the header by which a target says that it leaves.
+const LEAVING_VALUE: &str = "1";
+
+/// Returns the signals in the two headers that carry them in a dialect.
+pub fn signals_in(
+    headers: &HeaderMap,
+    rate_limit_name: &str,
+    leaving_name: &str,
+) -> signals::ResponseSignals {
+    let parse_limit = |text: &str| text.parse::<measure::RequestRate>().ok();
+    let parse_leaving = |text: &str| (text.trim() == LEAVING_VALUE).then_some(());
+    signals::ResponseSignals {
+        rate_limit: signal_value(headers, rate_limit_name, parse_limit),
+        leaving: signal_value(headers, leaving_name, parse_leaving),
+    }
+}
+
+/// Returns the value of a signal's header. A header that occurs more than once is malformed.
+fn signal_value<T>(
+    headers: &HeaderMap,
+    name: &str,
+    parse: impl FnOnce(&str) -> Option<T>,
+) -> signals::SignalValue<T> {
+    match single_value(headers, name) {
+        Ok(None) => signals::SignalValue::Absent,
+        Ok(Some(text)) => parse(text).map_or(
+            signals::SignalValue::Malformed,
+            signals::SignalValue::Present,
+        ),
+        Err(HeaderError) => signals::SignalValue::Malformed,
+    }
+}
--- a/crates/daemon/src/dialect/native.rs
+++ b/crates/daemon/src/dialect/native.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use hazeltiller_engine::membership;
+use hazeltiller_engine::{membership, signals};
 use hazeltiller_units::{code, ids};
 use hazeltiller_wire::{calls as wire, membership as wire_membership};
 use hyper::{HeaderMap, Method, Response, StatusCode, header};
@@ -10,11 +10,16 @@
 
 use super::{
     AttemptMetadata, CallDialect, CallHead, HeaderError, RequestError, ResponseVerdict,
-    TargetDialect, TargetRequest, api_key, single_value,
+    TargetDialect, TargetRequest, api_key, signals_in, single_value,
 };
 use crate::{http as bodies, trace};
 
 const ANNOUNCE_PATH: &str = "/v1/announce";
+/// Header of a target's responses with the requests per second that it takes from all nodes
+/// together.
+const RATE_LIMIT_HEADER: &str = "target-rate-limit";
+/// Header of a target's responses that says that it leaves.
+const LEAVING_HEADER: &str = "target-leaving";
 /// Authorization scheme of API keys.
 const KEY_SCHEME: &str = "Bearer";
 
@@ -62,6 +67,10 @@
         ResponseVerdict::Valid
     }
 
+    fn read_signals(&self, headers: &HeaderMap) -> signals::ResponseSignals {
+        signals_in(headers, RATE_LIMIT_HEADER, LEAVING_HEADER)
+    }
+
     fn set_caller_headers(&self, headers: &mut HeaderMap, request: &ids::RequestId) {
         trace::set_request_id(headers, request);
     }
--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use hazeltiller_engine::{
     calls::{self, transit},
-    event, quarantine,
+    event, quarantine, signals,
 };
 use hazeltiller_units::{code, ids};
 use hazeltiller_wire::{calls as wire, ledger, quarantine as wire_quarantine};
@@ -20,6 +20,7 @@
     HeaderMap, Request, Response, StatusCode,
     body::{Body, Frame, Incoming, SizeHint},
     client::conn::http1,
+    http::response,
 };
 use snafu::Snafu;
 use tokio::{
@@ -205,11 +206,12 @@
     ) -> Response<http::StreamBody> {
         let (parts, body) = response.into_parts();
         let context = Arc::clone(&self.guard.context);
-        match context
+        let verdict = context
             .dialects
             .calls
-            .check_response(&parts, &self.metadata)
-        {
+            .check_response(&parts, &self.metadata);
+        self.observe_signals(&parts, verdict);
+        match verdict {
             dialect::ResponseVerdict::Valid => {}
             dialect::ResponseVerdict::Declined => {
                 drain_and_reuse(context, self.plan.address, body, sender);
@@ -251,6 +253,27 @@
         )
     }
 
+    /// Tells the engine the signals in the head of a response of the target.
+    fn observe_signals(&self, parts: &response::Parts, verdict: dialect::ResponseVerdict) {
+        let has_run = match verdict {
+            dialect::ResponseVerdict::Valid => true,
+            dialect::ResponseVerdict::Declined => false,
+            dialect::ResponseVerdict::WrongTarget | dialect::ResponseVerdict::Invalid => return,
+        };
+        let context = &self.guard.context;
+        let signals = context.dialects.calls.read_signals(&parts.headers);
+        if signals.is_empty() && !self.plan.is_signalling {
+            return;
+        }
+        let observed = signals::SignalEvent::Observed {
+            call: self.guard.call,
+            request: self.metadata.request.clone(),
+            signals,
+            has_run,
+        };
+        context.engine.tell(event::Event::Signals(observed));
+    }
+
     /// Ends the run with a result and returns the refusal, with the target's load added.
     fn refuse(
         mut self,
--- a/crates/engine/src/calls.rs
+++ b/crates/engine/src/calls.rs
@@ -160,6 +160,8 @@
     pub deadline: time::MonotonicTime,
     /// Load of the target, reported to the ingress node with the response.
     pub load: wire::LoadReport,
+    /// Whether the target is known to signal, so that a response without signals says something.
+    pub is_signalling: bool,
 }
 
 /// Effects on calls, each to be carried out by the task that serves the call.
--- a/crates/engine/src/calls/owner.rs
+++ b/crates/engine/src/calls/owner.rs
@@ -136,6 +136,7 @@
         first_byte: Duration::from_millis(u64::from(first_byte_ms)).min(deadline.since(now)),
         deadline,
         load,
+        is_signalling: state.signals.is_signalling(&target),
         target,
     };
     output
--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -5,7 +5,9 @@
 use hazeltiller_units::ids;
 use hazeltiller_wire::{calls as wire_calls, membership as wire_membership, message};
 
-use crate::{calls, dissemination, health, ledger, membership, quarantine, replication, timeline};
+use crate::{
+    calls, dissemination, health, ledger, membership, quarantine, replication, signals, timeline,
+};
 
 /// An input of the reducer.
 #[derive(Debug, Clone, PartialEq)]
@@ -38,6 +40,8 @@
     Quarantine(quarantine::QuarantineEvent),
     /// An event of target health.
     Health(health::HealthEvent),
+    /// An event of the signals that targets send in their responses.
+    Signals(signals::SignalEvent),
 }
 
 /// An output of the reducer, to be carried out by the caller.
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -21,4 +21,5 @@
 pub mod rollout;
 pub mod routing;
 pub mod settings;
+pub mod signals;
 pub mod timeline;
--- a/crates/engine/src/reducer.rs
+++ b/crates/engine/src/reducer.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     admission, allowance, calls, dissemination, event, health, ledger, membership, organisations,
-    quarantine, replication, retry, rollout, routing, settings,
+    quarantine, replication, retry, rollout, routing, settings, signals,
 };
 
 /// The state of all decisions of a process.
@@ -45,6 +45,8 @@
     pub quarantine: quarantine::QuarantineState,
     /// Rollouts of new versions.
     pub rollout: rollout::RolloutState,
+    /// Signals that targets sent in their responses.
+    pub signals: signals::SignalState,
 }
 
 impl EngineState {
@@ -70,6 +72,7 @@
             ledger: ledger::LedgerState::default(),
             quarantine: quarantine::QuarantineState::default(),
             rollout: rollout::RolloutState::default(),
+            signals: signals::SignalState::default(),
             settings,
         }
     }
@@ -140,5 +143,6 @@
         event::Event::Ledger(event) => ledger::handle_event(state, event, output),
         event::Event::Quarantine(event) => quarantine::handle_event(state, event, output),
         event::Event::Health(event) => health::handle_event(state, event),
+        event::Event::Signals(event) => signals::handle_event(state, event, output),
     }
 }
--- a/crates/engine/src/timeline.rs
+++ b/crates/engine/src/timeline.rs
@@ -55,6 +55,18 @@
     CallerGone,
 }
 
+/// How a signal of a target came to this process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum SignalSource {
+    /// In a response of this node's own target.
+    Response,
+    /// From the target's owner node, with a response.
+    OwnerNode,
+    /// From an ingress node, with an offer.
+    IngressNode,
+}
+
 /// An event of the timeline.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "snake_case")]
@@ -227,6 +239,43 @@
         /// Name of the target.
         target: ids::TargetName,
     },
+    /// A target named a rate limit, or another one than before.
+    TargetLimitNamed {
+        /// Name of the target.
+        target: ids::TargetName,
+        /// Requests per second that the target takes from all nodes together.
+        limit: String,
+        /// Request whose response or offer brought the limit here.
+        request: ids::RequestId,
+        /// How it came here.
+        source: SignalSource,
+    },
+    /// A target no longer names a rate limit.
+    TargetLimitEnded {
+        /// Name of the target.
+        target: ids::TargetName,
+        /// Request whose response brought the news here.
+        request: ids::RequestId,
+        /// How it came here.
+        source: SignalSource,
+    },
+    /// A target said that it leaves.
+    TargetLeaving {
+        /// Name of the target.
+        target: ids::TargetName,
+        /// Request whose response or offer brought the news here.
+        request: ids::RequestId,
+        /// How it came here.
+        source: SignalSource,
+    },
+    /// A target sent a signal that is malformed, for the first time in its incarnation; what was
+    /// known of the target stays.
+    TargetSignalMalformed {
+        /// Name of the target.
+        target: ids::TargetName,
+        /// Request whose response had the malformed signal.
+        request: ids::RequestId,
+    },
     /// A target was ejected, and gets no calls for a time.
     TargetEjected {
         /// Name of the target.
--- a/crates/units/src/measure.rs
+++ b/crates/units/src/measure.rs
@@ -1,4 +1,4 @@
-//! Rates in the notation of the catalogue.
+//! Rates: of calls in the notation of the catalogue, and of requests as targets name them.
 
 use std::{fmt, str::FromStr};
 
@@ -57,3 +57,59 @@
         rate.to_string()
     }
 }
+
+/// Error for a text or number that is not a rate of requests.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(display("{text:?} is not a rate of requests: a decimal number without sign is expected"))]
+pub struct RequestRateError {
+    text: String,
+}
+
+/// Rate of requests per second; a finite number that is not negative, written `2.5`.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[serde(try_from = "f64", into = "f64")]
+pub struct RequestRate(f64);
+
+impl RequestRate {
+    /// Returns the number of requests per second.
+    pub fn per_second(self) -> f64 {
+        self.0
+    }
+}
+
+impl fmt::Display for RequestRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for RequestRate {
+    type Err = RequestRateError;
+
+    fn from_str(text: &str) -> Result<Self, RequestRateError> {
+        let text = text.trim();
+        let is_decimal = text.chars().all(|c| c.is_ascii_digit() || c == '.');
+        let number = text.parse::<f64>().ok().filter(|_| is_decimal);
+        let rate = number.and_then(|number| Self::try_from(number).ok());
+        rate.ok_or_else(|| RequestRateError { text: text.into() })
+    }
+}
+
+impl TryFrom<f64> for RequestRate {
+    type Error = RequestRateError;
+
+    fn try_from(number: f64) -> Result<Self, RequestRateError> {
+        if number.is_finite() && number >= 0.0 {
+            Ok(Self(number))
+        } else {
+            let text = number.to_string();
+            Err(RequestRateError { text })
+        }
+    }
+}
+
+impl From<RequestRate> for f64 {
+    fn from(rate: RequestRate) -> Self {
+        rate.0
+    }
+}
