--- a/crates/standin/src/answer.rs
+++ b/crates/standin/src/answer.rs
@@ -52,7 +52,23 @@
         (&Method::POST, BEHAVIOUR_PATH) => set_behaviour(target, request).await,
         (&Method::GET, HEALTH_PATH) => serve_health(target),
         (&Method::GET, LOAD_PATH) => serve_load(target),
-        _ => run(target, request).await,
+        _ => {
+            let mut response = run(target, request).await;
+            set_signals(response.headers_mut(), &target.behaviour());
+            response
+        }
+    }
+}
+
+/// Adds the rate limit and the leaving notice to a response, if the script has them.
+fn set_signals(headers: &mut hyper::HeaderMap, behaviour: &behaviour::StandInBehaviour) {
+    let rate_limit = behaviour.rate_limit.as_ref();
+    if let Some(value) = rate_limit.and_then(|text| header::HeaderValue::from_str(text).ok()) {
+        headers.insert(headers::RATE_LIMIT, value);
+    }
+    if behaviour.is_leaving {
+        let value = header::HeaderValue::from_static(headers::LEAVING_VALUE);
+        headers.insert(headers::LEAVING, value);
     }
 }
 
@@ -105,6 +121,7 @@
     let Ok(body) = body.map(http_body_util::Collected::to_bytes) else {
         return text_response(StatusCode::BAD_REQUEST, "the request body is truncated\n");
     };
+    target.log().record_arrival(parts.uri.path());
     let behaviour = target.behaviour();
     let slots = behaviour.real_slots.unwrap_or(target.settings().slots);
     let Some(run) = target.log().begin(run_record(&parts, body.len()), slots) else {
--- a/crates/standin/src/behaviour.rs
+++ b/crates/standin/src/behaviour.rs
@@ -81,6 +81,11 @@
     pub told_in_flight: Option<u32>,
     /// Service that requests are forwarded to, if any.
     pub next: Option<NextService>,
+    /// Rate limit that every response names, in requests per second; sent as written, so that it
+    /// may be malformed.
+    pub rate_limit: Option<String>,
+    /// Whether every response says that the target leaves.
+    pub is_leaving: bool,
 }
 
 impl Default for StandInBehaviour {
@@ -98,6 +103,8 @@
             health: HealthMode::Truth,
             told_in_flight: None,
             next: None,
+            rate_limit: None,
+            is_leaving: false,
         }
     }
 }
--- a/crates/standin/src/headers.rs
+++ b/crates/standin/src/headers.rs
@@ -15,3 +15,10 @@
 pub const OUTCOME: &str = "hazeltiller-outcome";
 /// Value of [`OUTCOME`] for a request that did not run.
 pub const NOT_RUN_OUTCOME: &str = "not-run";
+/// Header of a target's responses with the requests per second that it takes from all nodes
+/// together, as a decimal number.
+pub const RATE_LIMIT: &str = "target-rate-limit";
+/// Header of the responses of a target that leaves; its value is [`LEAVING_VALUE`].
+pub const LEAVING: &str = "target-leaving";
+/// Value of [`LEAVING`].
+pub const LEAVING_VALUE: &str = "1";
--- a/crates/standin/src/runs.rs
+++ b/crates/standin/src/runs.rs
@@ -3,7 +3,10 @@
 //! A run is logged before any part of its response is sent, so that the log contains every answered
 //! request.
 
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::{
+    sync::{Arc, Mutex, MutexGuard},
+    time::Instant,
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -38,8 +41,18 @@
     pub ended: Option<(u64, RunOutcome)>,
 }
 
+/// Arrival of a request, which was then run or shed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ArrivalRecord {
+    /// Time of the arrival.
+    pub at: Instant,
+    /// Path of the request.
+    pub path: String,
+}
+
 #[derive(Debug, Default)]
 struct LogState {
+    arrivals: Vec<ArrivalRecord>,
     records: Vec<RunRecord>,
     last_sequence: u64,
     running: u32,
@@ -68,6 +81,20 @@
         self.lock().records.clone()
     }
 
+    /// Returns the arrivals so far, in order.
+    pub fn arrivals(&self) -> Vec<ArrivalRecord> {
+        self.lock().arrivals.clone()
+    }
+
+    /// Logs the arrival of a request.
+    pub fn record_arrival(&self, path: &str) {
+        let arrival = ArrivalRecord {
+            at: Instant::now(),
+            path: path.into(),
+        };
+        self.lock().arrivals.push(arrival);
+    }
+
     /// Returns the number of running requests.
     pub fn running(&self) -> u32 {
         self.lock().running
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -29,5 +29,6 @@
 mod soak;
 mod streaming;
 mod support;
+mod target_signals;
 mod what_fails;
 mod whole_path;
--- /dev/null
+++ b/tests/all/target_signals.rs
@@ -0,0 +1,238 @@
+//! Signals of targets in their responses: a rate limit, and the notice that a target leaves. Both
+//! hold for every node that passed them on, whatever happens to the target's owner node.
+//!
+//! The bounds are on what the target itself saw, by its own clock, so a slow machine cannot break
+//! them.
+
+use std::{
+    net::SocketAddr,
+    sync::atomic::{AtomicBool, AtomicUsize, Ordering},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use hazeltiller_standin::{behaviour, client, headers, runs, target};
+use hazeltiller_testkit::{fleet, wait};
+use http_body_util::Full;
+use hyper::{Request, Response, StatusCode};
+use serde_json::json;
+
+use crate::support;
+
+/// Time after the first naming of a limit from which it must be kept.
+const SETTLING_TIME: Duration = Duration::from_secs(3);
+/// Length of the sliding windows in which arrivals are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+/// Time after which no request may reach a target whose leaving notice a node has passed on.
+const LEAVING_TIME: Duration = Duration::from_secs(2);
+/// Rate limit that the limited target names, in requests per second.
+const LIMIT: f64 = 5.0;
+const LIMITED: &str = "limited";
+const OTHER: &str = "other";
+/// Owner node of the limited target.
+const OWNER: &str = "node-1";
+/// Nodes at which requests begin.
+const INGRESSES: [&str; 2] = ["node-2", "node-3"];
+const CALLERS_PER_INGRESS: usize = 3;
+
+/// Returns the number of arrivals that the rule allows in a window.
+fn allowed(limit: f64) -> f64 {
+    1.5 * WINDOW.as_secs_f64() * limit + 5.0
+}
+
+/// Returns the largest number of arrivals in a window after `from`.
+fn busiest_window(arrivals: &[runs::ArrivalRecord], from: Instant) -> usize {
+    let times: Vec<Instant> = arrivals.iter().map(|arrival| arrival.at).collect();
+    let starts = times.iter().filter(|at| **at >= from);
+    let count = |start: &Instant| {
+        let in_window = |at: &&Instant| **at >= *start && **at < *start + WINDOW;
+        times.iter().filter(in_window).count()
+    };
+    starts.map(count).max().unwrap_or_default()
+}
+
+/// A fleet with one target that signals, owned by [`OWNER`], and one that does not.
+struct SignalFleet {
+    fleet: fleet::Fleet,
+    limited: target::StandInTarget,
+    other: target::StandInTarget,
+    /// Callers listeners of [`INGRESSES`].
+    ingresses: [SocketAddr; 2],
+}
+
+async fn get(ingress: SocketAddr) -> Option<Response<Bytes>> {
+    let request = Request::get("/vehicles/1").body(Full::default()).ok()?;
+    client::exchange(ingress, request).await.ok()
+}
+
+/// Keeps callers busy at the ingress nodes until `work` is done. Returns its result with the number
+/// of successful requests.
+async fn under_load<T>(ingresses: [SocketAddr; 2], work: impl Future<Output = T>) -> (T, usize) {
+    let (is_over, answered) = (AtomicBool::new(false), AtomicUsize::new(0));
+    let callers = ingresses.map(|ingress| [ingress; CALLERS_PER_INGRESS]);
+    let callers = callers.into_iter().flatten().map(|ingress| {
+        let (is_over, answered) = (&is_over, &answered);
+        async move {
+            while !is_over.load(Ordering::Relaxed) {
+                let response = get(ingress).await;
+                let is_ok = response.is_some_and(|response| response.status() == StatusCode::OK);
+                answered.fetch_add(usize::from(is_ok), Ordering::Relaxed);
+            }
+        }
+    });
+    let work = async {
+        let result = work.await;
+        is_over.store(true, Ordering::Relaxed);
+        result
+    };
+    let (result, _) = tokio::join!(work, futures_util::future::join_all(callers));
+    (result, answered.into_inner())
+}
+
+impl SignalFleet {
+    async fn start() -> Self {
+        let mut fleet = fleet::Fleet::new(support::DAEMON);
+        fleet.add_controls("brasov-a", &["control-1"]).await;
+        for node in [OWNER, INGRESSES[0], INGRESSES[1]] {
+            fleet.add_node("brasov-a", node).await;
+        }
+        fleet.start(&["control-1"], &["--bootstrap"]).await;
+        fleet.start(&[OWNER, INGRESSES[0], INGRESSES[1]], &[]).await;
+        // A restarted owner node listens where its target announces itself.
+        let announcements = fleet.instance(OWNER).addresses["target"];
+        fleet.instance(OWNER).settings["listen"]["target"] = json!(announcements);
+        support::apply_first_change(&fleet).await;
+        let behaviour = behaviour::StandInBehaviour {
+            latency_ms: 5,
+            ..behaviour::StandInBehaviour::default()
+        };
+        let mut add = async |node, name| {
+            let behaviour = behaviour.clone();
+            support::start_stand_in_with(&mut fleet, node, name, behaviour).await
+        };
+        let limited = add(OWNER, LIMITED).await;
+        let other = add(INGRESSES[0], OTHER).await;
+        let ingresses = INGRESSES.map(|node| fleet.instance(node).addresses["callers"]);
+        let started = Self {
+            fleet,
+            limited,
+            other,
+            ingresses,
+        };
+        for ingress in ingresses {
+            started.wait_until_used(ingress).await;
+        }
+        started
+    }
+
+    /// Waits until a request that begins at a node is answered by the limited target.
+    async fn wait_until_used(&self, ingress: SocketAddr) -> Response<Bytes> {
+        wait::until("a response of the limited target", || async {
+            let response = get(ingress).await?;
+            let target = response.headers().get("hazeltiller-target")?;
+            (response.status() == StatusCode::OK && target == LIMITED).then_some(response)
+        })
+        .await
+    }
+
+    /// Changes what the limited target says in its responses.
+    fn signal(&self, rate_limit: Option<&str>, is_leaving: bool) {
+        self.limited.set_behaviour(behaviour::StandInBehaviour {
+            rate_limit: rate_limit.map(Into::into),
+            is_leaving,
+            ..self.limited.behaviour()
+        });
+    }
+
+    /// Kills the owner node of the limited target and starts it anew.
+    async fn restart_owner(&mut self) {
+        self.fleet.kill(&[OWNER]).await;
+        self.fleet.start(&[OWNER], &[]).await;
+        self.fleet.wait_version(&[OWNER], 1).await;
+        // The target announces itself again.
+        self.limited
+            .announce_state(target::TargetState::Ready)
+            .await;
+    }
+
+    /// Makes the limited target say that it leaves, and waits until every ingress node has passed
+    /// that on and the time for them to obey is over.
+    async fn leave(&self) {
+        self.signal(None, true);
+        for ingress in self.ingresses {
+            let response = self.wait_until_used(ingress).await;
+            let notice = response.headers().get(headers::LEAVING);
+            assert_eq!(notice.expect("it is passed on"), headers::LEAVING_VALUE);
+        }
+        tokio::time::sleep(LEAVING_TIME).await;
+    }
+
+    /// Asserts that requests are answered by the other target, and none reaches the limited one.
+    async fn assert_avoided(&self) {
+        let before = self.limited.log().arrivals().len();
+        let sent_before = self.other.log().arrivals().len();
+        let load = async {
+            while self.other.log().arrivals().len() < sent_before + 200 {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        under_load(self.ingresses, load).await;
+        assert_eq!(self.limited.log().arrivals().len(), before);
+    }
+
+    /// Asserts that the arrivals at the limited target since a limit was named stay within it.
+    fn assert_limit_kept(&self, named_at: Instant) {
+        let arrivals = self.limited.log().arrivals();
+        let busiest = busiest_window(&arrivals, named_at + SETTLING_TIME);
+        assert!(
+            busiest as f64 <= allowed(LIMIT),
+            "{busiest} requests in {WINDOW:?}, allowed {}",
+            allowed(LIMIT)
+        );
+        assert!(busiest > 0, "the limited target is still used");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn limited_target_overrun() {
+    let fleet = SignalFleet::start().await;
+    fleet.signal(Some(&LIMIT.to_string()), false);
+    let named_at = Instant::now();
+    let load = tokio::time::sleep(SETTLING_TIME + WINDOW);
+    let ((), answered) = under_load(fleet.ingresses, load).await;
+    fleet.assert_limit_kept(named_at);
+    let by_other = fleet.other.log().arrivals().len();
+    assert!(by_other > answered / 2, "the other target takes the excess");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn limit_lost_with_owner() {
+    let mut fleet = SignalFleet::start().await;
+    fleet.signal(Some(&LIMIT.to_string()), false);
+    let named_at = Instant::now();
+    let ingresses = fleet.ingresses;
+    let restarts = async {
+        tokio::time::sleep(SETTLING_TIME).await;
+        for _ in 0..3 {
+            fleet.restart_owner().await;
+            tokio::time::sleep(WINDOW / 4).await;
+        }
+    };
+    under_load(ingresses, restarts).await;
+    fleet.assert_limit_kept(named_at);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_target_still_used() {
+    let fleet = SignalFleet::start().await;
+    fleet.leave().await;
+    fleet.assert_avoided().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_lost_with_owner() {
+    let mut fleet = SignalFleet::start().await;
+    fleet.leave().await;
+    fleet.restart_owner().await;
+    fleet.assert_avoided().await;
+}
