Signals: requests to a target are held to the rate limit that it names

Callers saw a target that asked for relief get as much as before (214 requests in 4 s where 129 are allowed): no node read the limit. Its class: what a target tells in its responses was known to nobody or, once read, to one process only.

The owner node, which every request to its target passes, now counts them with a token bucket at the named rate; health checks count too. The ingress node offers the target nothing for the time that the refusal gave, by class; these times grow with the refusals, so offers stay in proportion to the limit whatever the number of nodes. A service whose targets are all at their limits refuses without an offer.

What the owner node's process knows ends with it. A response therefore carries a report of it to the ingress node, in a header of its own, and the ingress node gives it back with each offer; a restarted owner node starts with an empty bucket. A limit is raised or ended only by the response to a run that was sent after the limit was named last.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -333,7 +333,8 @@
                         return Err(body_not_replayable(may_have_run));
                     };
                     let (attempt, mut report) =
-                        attempt::make_attempt(context, &plan, self.parts.clone(), body).await;
+                        attempt::make_attempt(context, &self.id, &plan, self.parts.clone(), body)
+                            .await;
                     if attempt.is_err() && self.source.has_failed() {
                         return Err(request_body_error(&self.source));
                     }
@@ -365,7 +366,7 @@
                 }
                 calls::CallEffect::Replay(_, stored) => return Ok(stored_response::replay(stored)),
                 calls::CallEffect::Refuse(_, refusal) => return Err(refusal),
-                calls::CallEffect::Run(..) => {
+                calls::CallEffect::Run(..) | calls::CallEffect::ReportSignals(..) => {
                     unreachable!("only the owner node receives run effects")
                 }
             }
--- a/crates/daemon/src/callers/attempt.rs
+++ b/crates/daemon/src/callers/attempt.rs
@@ -2,9 +2,9 @@
 
 use std::{sync::Arc, time::Duration};
 
-use hazeltiller_engine::calls;
-use hazeltiller_units::code;
-use hazeltiller_wire::calls as wire;
+use hazeltiller_engine::{calls, event, signals, timeline};
+use hazeltiller_units::{code, ids};
+use hazeltiller_wire::{calls as wire, signals as wire_signals};
 use hyper::{Request, Response, Uri, body::Body};
 use tokio::time;
 
@@ -19,6 +19,7 @@
 /// Makes one attempt. Returns its outcome and the load that the owner node reports for its target.
 pub async fn make_attempt(
     context: &Arc<process::ProcessContext>,
+    id: &ids::RequestId,
     plan: &calls::AttemptPlan,
     parts: hyper::http::request::Parts,
     body: http::StreamBody,
@@ -33,8 +34,9 @@
     let is_local = plan.candidate.address == context.credentials.identity.address;
     let started_at = time::Instant::now();
     let time_left = Duration::from_millis(u64::from(plan.offer.deadline_left_ms));
-    let response = if is_local {
-        owner::serve_local(Arc::clone(context), plan.offer.clone(), request).await
+    let mut response = if is_local {
+        let reporting = owner::OfferReporting::default();
+        owner::serve_local(Arc::clone(context), plan.offer.clone(), reporting, request).await
     } else {
         prepare_offer(&mut request, plan);
         trace::set_clock(&context.clock, request.headers_mut());
@@ -53,6 +55,17 @@
             Err(_elapsed) => return without_report(deadline_exceeded()),
         }
     };
+    let signals = http::take_record(response.headers_mut(), wire_signals::SIGNALS_HEADER);
+    if let Some(report) = signals.filter(|_| !is_local) {
+        let received = signals::ReceivedReport {
+            target: plan.offer.target.clone(),
+            report,
+            request: id.clone(),
+            source: timeline::SignalSource::OwnerNode,
+        };
+        let reported = signals::SignalEvent::Reported(received);
+        context.engine.tell(event::Event::Signals(reported));
+    }
     let (mut result, report) = split_response(response);
     if !is_local && let Ok(response) = result {
         result = buffer_response(context, response, started_at + time_left + DEADLINE_GRACE).await;
@@ -117,6 +130,10 @@
     let headers = request.headers_mut();
     headers.insert(wire::OFFER_TERMS_HEADER, http::header_value(&terms));
     headers.insert(wire::OFFER_HEADER, http::unindexed_value(&sent));
+    if let Some(report) = &plan.signals {
+        let value = http::header_value(report);
+        headers.insert(wire_signals::SIGNALS_HEADER, value);
+    }
 }
 
 /// Separates a refusal by the owner node from a response of its target, and removes the load
--- a/crates/daemon/src/engine_actor.rs
+++ b/crates/daemon/src/engine_actor.rs
@@ -254,7 +254,8 @@
             | calls::CallEffect::ForwardResponse(call)
             | calls::CallEffect::Replay(call, _)
             | calls::CallEffect::Refuse(call, _)
-            | calls::CallEffect::Run(call, _) => *call,
+            | calls::CallEffect::Run(call, _)
+            | calls::CallEffect::ReportSignals(call, _) => *call,
         };
         if let Some(effects) = self.calls.get(&call) {
             // Fails if the task has ended, which its guard reports.
--- a/crates/daemon/src/observer.rs
+++ b/crates/daemon/src/observer.rs
@@ -378,7 +378,7 @@
                 }
                 self.call_refused(*call, refusal);
             }
-            calls::CallEffect::Replay(..) => {}
+            calls::CallEffect::Replay(..) | calls::CallEffect::ReportSignals(..) => {}
         }
     }
 
--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -11,10 +11,12 @@
 use bytes::Bytes;
 use hazeltiller_engine::{
     calls::{self, transit},
-    event, quarantine, signals,
+    event, quarantine, signals, timeline,
 };
 use hazeltiller_units::{code, ids};
-use hazeltiller_wire::{calls as wire, ledger, quarantine as wire_quarantine};
+use hazeltiller_wire::{
+    calls as wire, ledger, quarantine as wire_quarantine, signals as wire_signals,
+};
 use http_body_util::BodyExt;
 use hyper::{
     HeaderMap, Request, Response, StatusCode,
@@ -28,7 +30,7 @@
     time::{self, Instant},
 };
 
-use crate::{dialect, http, pool, process, response_buffer, trace};
+use crate::{dialect, engine_actor, http, pool, process, response_buffer, trace};
 
 /// Time allowed to read the rest of a declined response so that its connection can be reused. The
 /// connection is closed afterwards.
@@ -47,11 +49,26 @@
         .zip(sent)
         .map(|(terms, sent)| receive_offer(transit, terms, sent));
     trace::merge_clock(&context.clock, request.headers_mut());
+    let report = http::take_record(request.headers_mut(), wire_signals::SIGNALS_HEADER);
     let Some(offer) = offer else {
         return offer_refusal(&not_run(code::ResultCode::MessageInvalid));
     };
+    if let Some(report) = report {
+        let received = signals::ReceivedReport {
+            target: offer.target.clone(),
+            report,
+            request: request_id(&context, request.headers()),
+            source: timeline::SignalSource::IngressNode,
+        };
+        let reported = signals::SignalEvent::Reported(received);
+        context.engine.tell(event::Event::Signals(reported));
+    }
     let clock = context.clock.clone();
-    let mut response = serve_local(context, offer, request.map(http::stream_body)).await;
+    let reporting = OfferReporting {
+        is_reported: report.is_some(),
+    };
+    let request = request.map(http::stream_body);
+    let mut response = serve_local(context, offer, reporting, request).await;
     trace::set_clock(&clock, response.headers_mut());
     response
 }
@@ -70,10 +87,19 @@
     offer
 }
 
-/// Serves an offered call. The response carries the target's load or the refusal in headers.
+/// What an offer says of the signals of its target.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct OfferReporting {
+    /// Whether the offer came with a report, so that its sender learns if the report is outdated.
+    pub is_reported: bool,
+}
+
+/// Serves an offered call. The response carries the target's load, its signals or the refusal in
+/// headers.
 pub async fn serve_local(
     context: Arc<process::ProcessContext>,
     offer: wire::CallOffer,
+    reporting: OfferReporting,
     mut request: Request<http::StreamBody>,
 ) -> Response<http::StreamBody> {
     let call = context.next_call_id();
@@ -100,13 +126,16 @@
         result: calls::RunResult::CallerGone,
     };
     match effects.recv().await {
-        Some(calls::CallEffect::Run(_, plan)) => {
+        Some(calls::CallEffect::Run(_, mut plan)) => {
+            plan.is_signalling |= reporting.is_reported;
             let run = TargetRun {
                 guard,
                 plan,
                 deadline,
                 metadata,
                 fingerprint,
+                effects,
+                report: None,
             };
             run.send(request).await
         }
@@ -147,6 +176,10 @@
     deadline: Instant,
     metadata: dialect::AttemptMetadata,
     fingerprint: Option<ledger::RequestDigest>,
+    /// Effects of the call from the engine.
+    effects: engine_actor::CallEffects,
+    /// Signals of the target to report to the ingress node.
+    report: Option<wire_signals::SignalReport>,
 }
 
 impl TargetRun {
@@ -210,7 +243,7 @@
             .dialects
             .calls
             .check_response(&parts, &self.metadata);
-        self.observe_signals(&parts, verdict);
+        self.observe_signals(&parts, verdict).await;
         match verdict {
             dialect::ResponseVerdict::Valid => {}
             dialect::ResponseVerdict::Declined => {
@@ -244,17 +277,20 @@
             }
         };
         self.guard.result = calls::RunResult::CallerGone;
-        stream_response(
-            self.guard,
-            &self.plan,
-            self.deadline,
-            Response::from_parts(parts, body),
-            sender,
-        )
+        let report = self.report;
+        let response = Response::from_parts(parts, body);
+        let mut response = stream_response(self.guard, &self.plan, self.deadline, response, sender);
+        set_report(response.headers_mut(), report);
+        response
     }
 
-    /// Tells the engine the signals in the head of a response of the target.
-    fn observe_signals(&self, parts: &response::Parts, verdict: dialect::ResponseVerdict) {
+    /// Tells the engine the signals in the head of a response of the target, and gets the report on
+    /// them for the ingress node.
+    async fn observe_signals(
+        &mut self,
+        parts: &response::Parts,
+        verdict: dialect::ResponseVerdict,
+    ) {
         let has_run = match verdict {
             dialect::ResponseVerdict::Valid => true,
             dialect::ResponseVerdict::Declined => false,
@@ -272,6 +308,9 @@
             has_run,
         };
         context.engine.tell(event::Event::Signals(observed));
+        if let Some(calls::CallEffect::ReportSignals(_, report)) = self.effects.recv().await {
+            self.report = report;
+        }
     }
 
     /// Ends the run with a result and returns the refusal, with the target's load added.
@@ -282,7 +321,17 @@
     ) -> Response<http::StreamBody> {
         self.guard.result = result;
         let load = Some(self.plan.load);
-        offer_refusal(&wire::CallRefusal { load, ..refusal })
+        let mut response = offer_refusal(&wire::CallRefusal { load, ..refusal });
+        set_report(response.headers_mut(), self.report);
+        response
+    }
+}
+
+/// Adds the report on the target's signals, if there is one, to a response to the ingress node.
+fn set_report(headers: &mut HeaderMap, report: Option<wire_signals::SignalReport>) {
+    if let Some(report) = report {
+        let value = http::header_value(&report);
+        headers.insert(wire_signals::SIGNALS_HEADER, value);
     }
 }
 
--- a/crates/engine/src/admission.rs
+++ b/crates/engine/src/admission.rs
@@ -23,7 +23,7 @@
 pub mod reserve;
 mod standing;
 
-pub use refusal::{displaced_refusal, expired_refusal};
+pub use refusal::{displaced_refusal, expired_refusal, target_rate_limit};
 
 /// Rank of a class that is not in the catalogue that this node holds: the lowest priority.
 const UNKNOWN_CLASS_RANK: u32 = 100;
@@ -159,12 +159,20 @@
     if admission.running >= slots {
         return None;
     }
-    let is_open = admission.admits_lowest(slots, now);
-    let (queued, rank) = if is_open {
-        admission.queue.pop()?
+    let below_rank = if admission.admits_lowest(slots, now) {
+        u32::MAX
     } else {
-        admission.queue.pop_higher_priority(max_rank?)?
+        max_rank?
     };
+    let next_rank = admission.queue.next_rank(below_rank)?;
+    if !state
+        .signals
+        .limit_wait(target, next_rank, 0, now)
+        .is_zero()
+    {
+        return None;
+    }
+    let (queued, rank) = admission.queue.pop_higher_priority(below_rank)?;
     admission.update_standing(now);
     admission.running += 1;
     admission.running_lowest += u32::from(Some(rank) >= max_rank);
@@ -327,12 +335,17 @@
     let is_overdue = latency::is_overdue(state, offer);
     let max_class_wait = max_queue_time(state, offer);
     let now = state.now;
+    state.signals.record_call(&offer.target, params.rank, now);
     let admission = state
         .admission
         .targets
         .entry(offer.target.clone())
         .or_default();
-    let is_open = !is_lowest || admission.admits_lowest(slots, now);
+    let ahead = admission.queue.calls_ahead(params.rank);
+    let limit_wait = state
+        .signals
+        .limit_wait(&offer.target, params.rank, ahead, now);
+    let is_open = limit_wait.is_zero() && (!is_lowest || admission.admits_lowest(slots, now));
     if admission.running < slots && admission.queue.is_empty() && is_open {
         admission.running += 1;
         admission.running_lowest += u32::from(is_lowest);
@@ -358,11 +371,9 @@
     };
     let useful_wait = useful_time.saturating_sub(run_time);
     let start_deadline = now + wait_limit.min(useful_wait);
-    let wait = admission.queue_wait(&params, offer, start_deadline, available);
+    let slot_wait = admission.queue_wait(&params, offer, start_deadline, available);
+    let wait = slot_wait.max(limit_wait);
     let left = Duration::from_millis(u64::from(offer.deadline_left_ms));
-    if wait + run_time > left {
-        return AdmissionDecision::Refuse(refusal::deadline_refusal(state, offer, wait));
-    }
     let release_interval = admission.estimate.time_for(1.0, slots);
     let admissible_wait = if is_held {
         let standing = admission.standing;
@@ -370,9 +381,21 @@
     } else {
         useful_wait
     };
+    let patience = Duration::from_millis(u64::from(offer.patience_ms));
+    let max_limit_wait = wait_limit
+        .min(admissible_wait)
+        .min(patience)
+        .min(left.saturating_sub(run_time));
+    if limit_wait > slot_wait && limit_wait > max_limit_wait {
+        let retry_delay = state.signals.defer(&offer.target, now);
+        return AdmissionDecision::Refuse(refusal::limit_refusal(state, offer, retry_delay));
+    }
+    if wait + run_time > left {
+        return AdmissionDecision::Refuse(refusal::deadline_refusal(state, offer, wait));
+    }
     let is_late =
         wait > admissible_wait || run_time > useful_time || is_overdue && is_queue_occupied;
-    if is_late || wait > Duration::from_millis(u64::from(offer.patience_ms)) {
+    if is_late || wait > patience {
         // The call would be admitted once the queue has shrunk by the excess wait.
         let excess = wait.saturating_sub(admissible_wait);
         return AdmissionDecision::Refuse(refusal::latency_refusal(
@@ -437,13 +460,19 @@
     let owner = catalogue.owner(&offer.owner);
     queue::SchedulingParams {
         class: offer.class.clone(),
-        rank: class.map_or(UNKNOWN_CLASS_RANK, |class| class.rank),
+        rank: class_rank(state, &offer.class),
         guaranteed_share: class.map_or(0.0, |class| class.limits.guaranteed_share),
         owner: offer.owner.clone(),
         weight: owner.map_or(1, |owner| owner.weight),
     }
 }
 
+/// Returns the rank of a class.
+pub fn class_rank(state: &reducer::EngineState, class: &ids::EntryName) -> u32 {
+    let class = state.dissemination.in_force.class(class);
+    class.map_or(UNKNOWN_CLASS_RANK, |class| class.rank)
+}
+
 /// Returns the maximum queue wait of the call's class.
 fn max_queue_time(state: &reducer::EngineState, offer: &wire::CallOffer) -> Duration {
     let class = state.dissemination.in_force.class(&offer.class);
--- a/crates/engine/src/admission/queue.rs
+++ b/crates/engine/src/admission/queue.rs
@@ -207,6 +207,18 @@
         class.start(&params.owner, cost);
     }
 
+    /// Returns the rank of the class whose call starts next among those with a lower rank number
+    /// than `rank`.
+    pub fn next_rank(&self, rank: u32) -> Option<u32> {
+        Some(self.classes[self.next_class(rank)?].rank)
+    }
+
+    /// Returns the number of queued calls of classes with this rank or a higher priority.
+    pub fn calls_ahead(&self, rank: u32) -> usize {
+        let classes = self.classes.values().filter(|class| class.rank <= rank);
+        classes.map(ClassQueue::len).sum()
+    }
+
     /// Removes the call that starts next and returns it with the rank of its class.
     pub fn pop(&mut self) -> Option<(QueuedCall, u32)> {
         let class_name = self.next_class(u32::MAX)?.clone();
--- a/crates/engine/src/admission/refusal.rs
+++ b/crates/engine/src/admission/refusal.rs
@@ -12,7 +12,7 @@
 
 /// Returns the refusal of a call that expired in the queue.
 pub fn expired_refusal(
-    state: &reducer::EngineState,
+    state: &mut reducer::EngineState,
     offer: &wire::CallOffer,
     deadline: time::MonotonicTime,
 ) -> wire::CallRefusal {
@@ -21,6 +21,15 @@
         let limit = route_limit(offer, wire::LimitField::Deadline);
         return with_load(state, offer, refusal.with_limit(limit, 0));
     }
+    let (rank, now) = (admission::class_rank(state, &offer.class), state.now);
+    if !state
+        .signals
+        .limit_wait(&offer.target, rank, 0, now)
+        .is_zero()
+    {
+        let retry_delay = state.signals.defer(&offer.target, now);
+        return limit_refusal(state, offer, retry_delay);
+    }
     let latency_left = Duration::from_millis(u64::from(offer.latency_left_ms));
     if latency::is_lowest_priority(state, offer)
         && admission::max_queue_time(state, offer) > latency_left
@@ -89,6 +98,26 @@
     target_refusal(state, offer, code, limit, wait)
 }
 
+/// Returns the refusal of a call that would exceed the rate limit that its target names.
+pub(super) fn limit_refusal(
+    state: &reducer::EngineState,
+    offer: &wire::CallOffer,
+    retry_delay: Duration,
+) -> wire::CallRefusal {
+    let limit = target_rate_limit(&offer.service);
+    let code = code::ResultCode::TargetLimited;
+    target_refusal(state, offer, code, limit, retry_delay)
+}
+
+/// Returns the limit that a target of a service names.
+pub fn target_rate_limit(service: &ids::EntryName) -> wire::CallLimit {
+    call_limit(
+        entry::EntryKind::Service,
+        service,
+        wire::LimitField::TargetRate,
+    )
+}
+
 /// Returns a refusal that allows attempts at other targets, with the time after which to retry.
 fn target_refusal(
     state: &reducer::EngineState,
--- a/crates/engine/src/calls.rs
+++ b/crates/engine/src/calls.rs
@@ -8,7 +8,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use hazeltiller_units::{code, ids, time};
-use hazeltiller_wire::{calls as wire, ledger as wire_ledger};
+use hazeltiller_wire::{calls as wire, ledger as wire_ledger, signals as wire_signals};
 use indexmap::IndexMap;
 
 use crate::{event, ledger, organisations, reducer, rollout::cohort, routing};
@@ -145,6 +145,8 @@
     pub is_claimed: bool,
     /// Organisation that the call belongs to.
     pub organisation: Option<ids::EntryName>,
+    /// What the target is known to signal, to be reported to its owner node.
+    pub signals: Option<wire_signals::SignalReport>,
 }
 
 /// A run that the owner node is to start.
@@ -177,6 +179,8 @@
     Refuse(ids::CallId, wire::CallRefusal),
     /// Owner node: run the call.
     Run(ids::CallId, RunPlan),
+    /// Owner node: report the signals of the target to the ingress node with its response.
+    ReportSignals(ids::CallId, Option<wire_signals::SignalReport>),
 }
 
 /// A call at its ingress node.
--- a/crates/engine/src/calls/ingress.rs
+++ b/crates/engine/src/calls/ingress.rs
@@ -8,8 +8,8 @@
 
 use super::attributes;
 use crate::{
-    allowance, calls, event, health, ledger, organisations, quarantine, reducer, retry, rollout,
-    routing, settings,
+    admission, allowance, calls, event, health, ledger, organisations, quarantine, reducer, retry,
+    rollout, routing, settings,
 };
 
 /// Bounds of the random factor that is applied to a retry delay.
@@ -146,10 +146,47 @@
     if draw_throttled(state, call) {
         return refuse_throttled(state, call, output);
     }
-    if !attempt(state, call, false, output) {
+    if attempt(state, call, false, output) {
+        return;
+    }
+    let Some(refusal) = limit_refusal(state, call) else {
         let refusal = wire::CallRefusal::not_run(code::ResultCode::TargetMissing);
-        refuse_no_target(state, call, refusal, output);
+        return refuse_no_target(state, call, refusal, output);
+    };
+    refuse_no_capacity(state, call, refusal, output);
+}
+
+/// Returns the refusal of a call to a service whose targets are at the rate limits that they name;
+/// `None` if that is not why there is no target. The retry delay ends when the first of them is
+/// offered calls again.
+fn limit_refusal(state: &reducer::EngineState, call: ids::CallId) -> Option<wire::CallRefusal> {
+    let attributes = &state.calls.ingress.get(&call)?.attributes;
+    let rank = admission::class_rank(state, &attributes.class);
+    let reopens_after = routing::reopening_time(state, &attributes.service, rank)?;
+    let retry_after_ms = u32::try_from(reopens_after.as_millis()).unwrap_or(u32::MAX);
+    let limit = admission::target_rate_limit(&attributes.service);
+    let refusal = wire::CallRefusal::not_run(code::ResultCode::TargetLimited);
+    Some(refusal.with_limit(limit, retry_after_ms.max(1)))
+}
+
+/// Refuses a call for which no target has capacity, and counts it in the throttle of its route.
+fn refuse_no_capacity(
+    state: &mut reducer::EngineState,
+    call: ids::CallId,
+    refusal: wire::CallRefusal,
+    output: &mut event::ReducerOutput,
+) {
+    if let Some(record) = state.calls.ingress.get(&call) {
+        let (service, route) = (&record.attributes.service, &record.attributes.route);
+        let throttles = &mut state.calls.throttles;
+        throttles.record_no_capacity(service, route, &refusal);
     }
+    let retry_after_ms = add_jitter(state, refusal.retry_after_ms);
+    let refusal = wire::CallRefusal {
+        retry_after_ms,
+        ..refusal
+    };
+    refuse(state, call, refusal, output);
 }
 
 /// Decides at random, by the share to refuse, whether a call is refused without an offer because
@@ -232,6 +269,7 @@
         prefers_other_centres,
         route: &route,
         cohort: record.cohort,
+        rank: admission::class_rank(state, &record.attributes.class),
     };
     let candidate = loop {
         if let Some(candidate) = routing::choose(state, &request) {
@@ -273,6 +311,7 @@
     let is_claimed = record.attributes.is_claimed();
     let organisation = record.organisation.clone();
     let plan = calls::AttemptPlan {
+        signals: state.signals.report(&candidate.target),
         candidate,
         offer,
         is_claimed,
@@ -314,6 +353,7 @@
     }
     if let Some(target) = target {
         update_view(state, &attributes, &target, &result, report.load);
+        close_limited(state, &attributes, &target, &result);
     }
     if report.bytes > 0 {
         state.routing.sizes.record(&attributes.route, report.bytes);
@@ -335,9 +375,9 @@
         return refuse_no_target(state, call, refusal, output);
     }
     let is_rate_refusal = refusal.code == code::ResultCode::RateExceeded;
-    if proof == retry::FailureProof::NotAdmitted && !is_rate_refusal {
-        let throttles = &mut state.calls.throttles;
-        throttles.record_no_capacity(&attributes.service, &attributes.route, &refusal);
+    let is_limit_refusal = refusal.code == code::ResultCode::TargetLimited;
+    if is_limit_refusal || proof == retry::FailureProof::NotAdmitted && !is_rate_refusal {
+        return refuse_no_capacity(state, call, refusal, output);
     }
     refusal.retry_after_ms = add_jitter(state, refusal.retry_after_ms);
     refuse(state, call, refusal, output);
@@ -447,6 +487,27 @@
     }
 }
 
+/// Offers a target no more calls of a class for as long as its owner node asked for, if the target is
+/// at the rate limit that it names.
+fn close_limited(
+    state: &mut reducer::EngineState,
+    attributes: &attributes::CallAttributes,
+    target: &ids::TargetName,
+    result: &calls::AttemptResult,
+) {
+    if let calls::AttemptResult::Refused(refusal) = result
+        && refusal.code == code::ResultCode::TargetLimited
+    {
+        let rank = admission::class_rank(state, &attributes.class);
+        let delay = Duration::from_millis(u64::from(refusal.retry_after_ms));
+        let Some(view) = state.routing.views.get(target) else {
+            return;
+        };
+        let (incarnation, now) = (view.incarnation(), state.now);
+        state.signals.close(target, incarnation, (rank, delay), now);
+    }
+}
+
 /// Credits the retry and placement budgets for a successful attempt.
 fn credit_budgets(
     state: &mut reducer::EngineState,
--- a/crates/engine/src/calls/owner.rs
+++ b/crates/engine/src/calls/owner.rs
@@ -125,6 +125,7 @@
         return;
     };
     record.started = Some(now);
+    state.signals.count_request(&record.offer.target, now);
     let target = record.offer.target.clone();
     let (deadline, first_byte_ms) = (record.deadline, record.offer.first_byte_ms);
     let Some(own_target) = state.membership.targets.get(&target) else {
@@ -136,7 +137,7 @@
         first_byte: Duration::from_millis(u64::from(first_byte_ms)).min(deadline.since(now)),
         deadline,
         load,
-        is_signalling: state.signals.is_signalling(&target),
+        is_signalling: state.signals.report(&target).is_some(),
         target,
     };
     output
--- a/crates/engine/src/health.rs
+++ b/crates/engine/src/health.rs
@@ -18,6 +18,9 @@
 pub use ejection::{EjectionState, connect_retry_delay, ejected_targets};
 pub use outcome::OutcomeWindow;
 
+/// Rank of a health check among the calls to its target: below all classes.
+const PROBE_RANK: u32 = u32::MAX;
+
 /// Events of health checking.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum HealthEvent {
@@ -162,6 +165,15 @@
     }
     let period = Duration::from_millis(u64::from(probe_settings.period_ms));
     health.next_probe_at = now + period;
+    // A probe counts as a request. A target at the rate limit that it names is left to its calls.
+    let is_limited = !state
+        .signals
+        .limit_wait(&target, PROBE_RANK, 0, now)
+        .is_zero();
+    if is_limited {
+        return;
+    }
+    state.signals.count_request(&target, now);
     let plan = ProbePlan {
         target,
         address: record.address,
--- a/crates/engine/src/membership/own.rs
+++ b/crates/engine/src/membership/own.rs
@@ -103,7 +103,11 @@
         sequence,
         warm_at,
     };
+    let incarnation = target.record.incarnation;
     state.membership.targets.insert(name.clone(), target);
+    state
+        .signals
+        .own_target_announced(&name, incarnation, state.now);
     if has_changed {
         state.membership.publish_targets();
     }
--- a/crates/engine/src/reducer.rs
+++ b/crates/engine/src/reducer.rs
@@ -107,6 +107,7 @@
             health::tick(state, output);
             rollout::tick(state, output);
             allowance::tick(state, output);
+            signals::tick(state);
         }
         event::Event::Received { from, message } => {
             membership::record_contact(state, &from);
--- a/crates/engine/src/retry.rs
+++ b/crates/engine/src/retry.rs
@@ -223,8 +223,8 @@
 /// What a failed attempt proves about the call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FailureProof {
-    /// The target or its owner node is unreachable, gone or leaving; the call was not sent to the
-    /// target.
+    /// The target is at the rate limit that it names, or it or its owner node is unreachable, gone
+    /// or leaving; the call was not sent to the target.
     TargetUnavailable,
     /// The owner node did not admit the call; another target may accept it.
     NotAdmitted,
@@ -252,7 +252,10 @@
     fn from_refusal(refusal: &wire::CallRefusal) -> Self {
         match (refusal.outcome, refusal.elsewhere) {
             (wire::CallOutcome::Unknown | wire::CallOutcome::Ran, _) => Self::MayHaveRun,
-            (wire::CallOutcome::NotRun, true) if is_target_leaving(refusal) => {
+            (wire::CallOutcome::NotRun, true)
+                if is_target_leaving(refusal)
+                    || refusal.code == code::ResultCode::TargetLimited =>
+            {
                 Self::TargetUnavailable
             }
             (wire::CallOutcome::NotRun, true) if was_sent(refusal) => Self::NotRun,
--- a/crates/engine/src/routing.rs
+++ b/crates/engine/src/routing.rs
@@ -92,6 +92,8 @@
     pub prefers_other_centres: bool,
     /// Cohorts of the service's targets that may take the call while a rollout is in progress.
     pub cohort: cohort::CallCohort,
+    /// Rank of the call's class.
+    pub rank: u32,
 }
 
 /// Routing state of the ingress side.
@@ -248,6 +250,36 @@
     None
 }
 
+/// Returns whether the signals of a target let it be offered a call.
+fn is_open(
+    state: &reducer::EngineState,
+    request: &SelectionRequest,
+    target: &table::ReadyTarget,
+) -> bool {
+    let (name, incarnation) = (&target.target, target.incarnation);
+    let closed_time = state
+        .signals
+        .closed_time(name, incarnation, request.rank, state.now);
+    closed_time.is_zero()
+}
+
+/// Returns the time until the first target of a service that is at the rate limit it names is
+/// offered calls of a class with this rank again; `None` if there is no such target.
+pub fn reopening_time(
+    state: &reducer::EngineState,
+    service: &ids::EntryName,
+    rank: u32,
+) -> Option<Duration> {
+    let targets = state.routing.table.of_service(service).iter();
+    let closed_times = targets.map(|(_, target)| {
+        let (name, incarnation) = (&target.target, target.incarnation);
+        state
+            .signals
+            .closed_time(name, incarnation, rank, state.now)
+    });
+    closed_times.filter(|time| !time.is_zero()).min()
+}
+
 /// Returns the distances that a request allows, in order of preference.
 fn distances(request: &SelectionRequest) -> Vec<table::TargetDistance> {
     let mut distances = table::TargetDistance::ALL.to_vec();
@@ -296,6 +328,7 @@
     targets
         .filter(|(index, target)| {
             is_eligible(*index, target)
+                && is_open(state, request, target)
                 && request.cohort.admits(target.cohort)
                 && !request.attempted_targets.contains(&target.target)
         })
--- a/crates/engine/src/routing/expected_latency.rs
+++ b/crates/engine/src/routing/expected_latency.rs
@@ -65,6 +65,7 @@
         let target = targets.get(*index);
         target.is_reachable
             && !ejected.contains(index)
+            && routing::is_open(state, request, target)
             && request.cohort.admits(target.cohort)
             && !request.attempted_targets.contains(&target.target)
             && views[&target.target].admits_call(now)
--- a/crates/engine/src/routing/view.rs
+++ b/crates/engine/src/routing/view.rs
@@ -66,6 +66,11 @@
         }
     }
 
+    /// Returns the incarnation of the target that the view belongs to.
+    pub fn incarnation(&self) -> ids::IncarnationNumber {
+        self.incarnation
+    }
+
     /// Resets the view if the target has restarted. Outstanding calls still count until they end.
     pub fn begin_incarnation(
         &mut self,
--- a/crates/engine/src/signals.rs
+++ b/crates/engine/src/signals.rs
@@ -1,15 +1,36 @@
 //! Signals that targets send in their responses: a rate limit, and the notice that they leave.
 //!
+//! Invariant: a signal that any node passed on to a caller holds for all requests that begin at that
+//! node, also while the target's owner node restarts or is cut off. All requests to a target pass
+//! its owner node, which alone counts them against the limit. But what its process has learnt ends
+//! with it. Every ingress node therefore keeps what was reported to it with a response, and reports
+//! it back with each offer to the target. An owner node takes such a report over until a response
+//! of its target tells it more.
+//!
 //! A signal holds for one incarnation of its target. What a response says counts in the order in
 //! which the target wrote the responses, and of two responses that were under way together that
 //! order is unknown. A limit is therefore raised or ended only by the response to a run that was
-//! sent after the limit had been named last; a lower one counts at once, and a leaving notice is
-//! never taken back.
+//! sent after the limit had been named last; a lower one counts at once.
+
+use std::time::Duration;
 
 use hazeltiller_units::{ids, measure, time};
-use indexmap::IndexMap;
+use hazeltiller_wire::signals as wire;
+use indexmap::{IndexMap, IndexSet};
+
+use crate::{calls, event, reducer, settings, timeline};
 
-use crate::{event, reducer, timeline};
+pub mod closure;
+pub mod limiter;
+
+/// Maximum number of targets whose signals are kept; those of the target that signalled first are
+/// dropped first.
+const MAX_TARGETS: usize = 1024;
+/// Interval at which the signals of targets that are gone are dropped.
+const CLEANUP_INTERVAL: Duration = Duration::from_secs(10);
+/// Shortest time between two timeline events on the limit of one target, which may name another
+/// limit with each response.
+const MIN_EVENT_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Value of one signal in a response.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -43,10 +64,24 @@
     }
 }
 
+/// A report on a target's signals that another node sent.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ReceivedReport {
+    /// The target.
+    pub target: ids::TargetName,
+    /// The report.
+    pub report: wire::SignalReport,
+    /// Request whose offer or response brought the report.
+    pub request: ids::RequestId,
+    /// Who sent it.
+    pub source: timeline::SignalSource,
+}
+
 /// Events that concern signals of targets.
 #[derive(Debug, Clone, PartialEq)]
 pub enum SignalEvent {
-    /// The head of a response of an own target arrived.
+    /// The head of a response of an own target arrived. Answered with
+    /// [`calls::CallEffect::ReportSignals`].
     Observed {
         /// Call that the target responds to.
         call: ids::CallId,
@@ -58,45 +93,206 @@
         /// does not end any.
         has_run: bool,
     },
+    /// Another node reported what a target signals.
+    Reported(ReceivedReport),
 }
 
 /// Signals of one incarnation of a target, as known to this process.
 #[derive(Debug, Clone, Default)]
 struct KnownSignals {
-    /// Incarnation of the target.
-    incarnation: ids::IncarnationNumber,
-    /// Rate limit that the target names at present.
-    rate_limit: Option<measure::RequestRate>,
-    /// Whether the target said that it leaves.
-    is_leaving: bool,
+    /// The latest report, made or received by this process.
+    report: wire::SignalReport,
+    /// Whether this process has observed a response of the target.
+    is_observed: bool,
     /// When the rate limit was last named.
     limit_named_at: time::MonotonicTime,
-    /// Whether a malformed signal has been reported.
-    has_reported_malformed: bool,
+    /// Requests that may be sent to the target, if it is this node's own and names a limit.
+    limiter: Option<limiter::RequestLimiter>,
+    /// Times at which this node as an ingress node offers the target no calls.
+    closures: closure::ClosureTable,
+    /// When the signals were last used or changed.
+    touched_at: time::MonotonicTime,
+    /// When an event on the limit was last recorded.
+    event_recorded_at: Option<time::MonotonicTime>,
+    /// Whether a malformed signal has been recorded.
+    has_recorded_malformed: bool,
+}
+
+impl KnownSignals {
+    /// Changes the rate limit.
+    fn set_rate_limit(
+        &mut self,
+        rate_limit: Option<measure::RequestRate>,
+        now: time::MonotonicTime,
+    ) {
+        self.report.rate_limit = rate_limit;
+        if let (Some(rate_limit), Some(limiter)) = (rate_limit, &mut self.limiter) {
+            limiter.set_rate(rate_limit, now);
+        }
+        if rate_limit.is_none() {
+            self.limiter = None;
+            self.closures.clear();
+        }
+    }
+
+    /// Starts to hold requests to the rate limit, if the target names one.
+    fn enforce(&mut self, now: time::MonotonicTime) {
+        if let (Some(rate_limit), None) = (self.report.rate_limit, &self.limiter) {
+            self.limiter = Some(limiter::RequestLimiter::new(rate_limit, now));
+        }
+    }
+
+    /// Returns whether an event on the limit may be recorded now.
+    fn may_record_event(&mut self, now: time::MonotonicTime) -> bool {
+        let last = self.event_recorded_at;
+        let is_due = last.is_none_or(|last| now.since(last) >= MIN_EVENT_INTERVAL);
+        if is_due {
+            self.event_recorded_at = Some(now);
+        }
+        is_due
+    }
 }
 
 /// Signals of targets.
 #[derive(Debug, Clone, Default)]
 pub struct SignalState {
     targets: IndexMap<ids::TargetName, KnownSignals>,
+    /// Number of the last report made by this process.
+    last_sequence: u64,
+    cleaned_up_at: time::MonotonicTime,
 }
 
 impl SignalState {
+    /// Returns the latest report on a target that signals something.
+    pub fn report(&self, target: &ids::TargetName) -> Option<wire::SignalReport> {
+        let known = self.targets.get(target)?;
+        known.report.is_signalling().then_some(known.report)
+    }
+
     /// Returns the rate limit that a target names, if it does.
     pub fn rate_limit(&self, target: &ids::TargetName) -> Option<measure::RequestRate> {
-        self.targets.get(target)?.rate_limit
+        self.report(target)?.rate_limit
     }
 
-    /// Returns whether a target is known to signal.
-    pub fn is_signalling(&self, target: &ids::TargetName) -> bool {
-        self.rate_limit(target).is_some() || self.is_leaving(target)
+    /// Returns the latest report on each target that signals something.
+    pub fn reports(&self) -> impl Iterator<Item = (&ids::TargetName, &wire::SignalReport)> {
+        let reports = self
+            .targets
+            .iter()
+            .map(|(name, known)| (name, &known.report));
+        reports.filter(|(_, report)| report.is_signalling())
     }
 
-    /// Returns whether a target said that it leaves.
-    pub fn is_leaving(&self, target: &ids::TargetName) -> bool {
-        self.targets
-            .get(target)
-            .is_some_and(|known| known.is_leaving)
+    /// Returns the time for which this node offers an incarnation of a target no calls of a class
+    /// with this rank; zero if it may be offered one.
+    pub fn closed_time(
+        &self,
+        target: &ids::TargetName,
+        incarnation: ids::IncarnationNumber,
+        rank: u32,
+        now: time::MonotonicTime,
+    ) -> Duration {
+        let known = self.targets.get(target);
+        let known = known.filter(|known| known.report.incarnation >= incarnation);
+        known.map_or(Duration::ZERO, |known| known.closures.time_left(rank, now))
+    }
+
+    /// Offers a target no calls of a class with this rank for a time, since its owner node refused
+    /// one.
+    pub fn close(
+        &mut self,
+        target: &ids::TargetName,
+        incarnation: ids::IncarnationNumber,
+        (rank, delay): (u32, Duration),
+        now: time::MonotonicTime,
+    ) {
+        if let Some(known) = self.of_incarnation(target, incarnation, now) {
+            known.closures.close(rank, delay, now);
+        }
+    }
+
+    /// Records that a call of a class with this rank arrived for an own target.
+    pub fn record_call(&mut self, target: &ids::TargetName, rank: u32, now: time::MonotonicTime) {
+        if let Some(limiter) = self.limiter(target) {
+            limiter.record_call(rank, now);
+        }
+    }
+
+    /// Returns the time until the limit of an own target lets a call of a class with this rank
+    /// pass if `ahead` others go first; zero if it may pass now.
+    pub fn limit_wait(
+        &mut self,
+        target: &ids::TargetName,
+        rank: u32,
+        ahead: usize,
+        now: time::MonotonicTime,
+    ) -> Duration {
+        let limiter = self.limiter(target);
+        limiter.map_or(Duration::ZERO, |limiter| limiter.wait(rank, ahead, now))
+    }
+
+    /// Counts a request that is sent to an own target against its limit.
+    pub fn count_request(&mut self, target: &ids::TargetName, now: time::MonotonicTime) {
+        if let Some(limiter) = self.limiter(target) {
+            limiter.take(now);
+        }
+    }
+
+    /// Returns the retry delay of a call that the limit of an own target held back.
+    pub fn defer(&mut self, target: &ids::TargetName, now: time::MonotonicTime) -> Duration {
+        let limiter = self.limiter(target);
+        limiter.map_or(Duration::ZERO, |limiter| limiter.defer(now))
+    }
+
+    /// Prepares for a target that announced itself to this node: forgets the signals of its earlier
+    /// incarnations, and holds requests to the limit that it is known to name.
+    pub fn own_target_announced(
+        &mut self,
+        target: &ids::TargetName,
+        incarnation: ids::IncarnationNumber,
+        now: time::MonotonicTime,
+    ) {
+        self.forget_before(target, incarnation);
+        if let Some(known) = self.targets.get_mut(target) {
+            known.enforce(now);
+        }
+    }
+
+    /// Forgets the signals of earlier incarnations of a target.
+    fn forget_before(&mut self, target: &ids::TargetName, incarnation: ids::IncarnationNumber) {
+        let known = self.targets.get(target);
+        if known.is_some_and(|known| known.report.incarnation < incarnation) {
+            self.targets.shift_remove(target);
+        }
+    }
+
+    fn limiter(&mut self, target: &ids::TargetName) -> Option<&mut limiter::RequestLimiter> {
+        self.targets.get_mut(target)?.limiter.as_mut()
+    }
+
+    /// Returns what is known of an incarnation of a target; `None` if a later one is known.
+    fn of_incarnation(
+        &mut self,
+        target: &ids::TargetName,
+        incarnation: ids::IncarnationNumber,
+        now: time::MonotonicTime,
+    ) -> Option<&mut KnownSignals> {
+        self.forget_before(target, incarnation);
+        if self.targets.len() >= MAX_TARGETS && !self.targets.contains_key(target) {
+            self.targets.shift_remove_index(0);
+        }
+        let known = self.targets.entry(target.clone()).or_insert_with(|| {
+            let report = wire::SignalReport {
+                incarnation,
+                ..wire::SignalReport::default()
+            };
+            KnownSignals {
+                report,
+                ..KnownSignals::default()
+            }
+        });
+        known.touched_at = now;
+        (known.report.incarnation == incarnation).then_some(known)
     }
 }
 
@@ -112,11 +308,37 @@
             request,
             signals,
             has_run,
-        } => observe(state, call, &request, signals, has_run, output),
+        } => {
+            let report = observe(state, call, &request, signals, has_run, output);
+            let effect = calls::CallEffect::ReportSignals(call, report);
+            output.effects.push(event::Effect::Calls(effect));
+        }
+        SignalEvent::Reported(received) => receive_report(state, &received, output),
+    }
+}
+
+/// Drops the signals of targets that have been gone for long.
+pub fn tick(state: &mut reducer::EngineState) {
+    let now = state.now;
+    if now.since(state.signals.cleaned_up_at) < CLEANUP_INTERVAL {
+        return;
+    }
+    state.signals.cleaned_up_at = now;
+    let retention = settings::millis(state.settings.tunables.membership.departed_ms);
+    let is_old = |known: &KnownSignals| now.since(known.touched_at) >= retention;
+    if !state.signals.targets.values().any(is_old) {
+        return;
     }
+    let present: IndexSet<&ids::TargetName> = state
+        .membership
+        .present()
+        .flat_map(|member| member.targets.iter().map(|target| &target.name))
+        .collect();
+    let signals = &mut state.signals.targets;
+    signals.retain(|target, known| !is_old(known) || present.contains(target));
 }
 
-/// Takes over the signals in a response of an own target.
+/// Takes over the signals in a response of an own target. Returns the report for the ingress node.
 fn observe(
     state: &mut reducer::EngineState,
     call: ids::CallId,
@@ -124,56 +346,100 @@
     signals: ResponseSignals,
     has_run: bool,
     output: &mut event::ReducerOutput,
-) {
+) -> Option<wire::SignalReport> {
     let now = state.now;
-    let Some(record) = state.calls.owner.get(&call) else {
-        return;
-    };
+    let record = state.calls.owner.get(&call)?;
     let (target, incarnation) = (record.offer.target.clone(), record.incarnation);
     let sent_at = record.started.unwrap_or(now);
-    let known = state.signals.targets.entry(target.clone()).or_default();
-    if known.incarnation > incarnation {
-        return;
-    }
-    if known.incarnation < incarnation {
-        *known = KnownSignals {
-            incarnation,
-            ..KnownSignals::default()
-        };
-    }
-    let source = timeline::SignalSource::Response;
-    if signals.has_malformed() && !known.has_reported_malformed {
-        known.has_reported_malformed = true;
+    let observer = state.settings.identity.incarnation;
+    let sequence = state.signals.last_sequence + 1;
+    state.signals.last_sequence = sequence;
+    let known = state.signals.of_incarnation(&target, incarnation, now)?;
+    if signals.has_malformed() && !known.has_recorded_malformed {
+        known.has_recorded_malformed = true;
         output.record_event(timeline::TimelineEvent::TargetSignalMalformed {
             target: target.clone(),
             request: request.clone(),
         });
     }
-    if signals.leaving == SignalValue::Present(()) && !known.is_leaving {
-        known.is_leaving = true;
-        output.record_event(timeline::TimelineEvent::TargetLeaving {
-            target: target.clone(),
-            request: request.clone(),
-            source,
-        });
-    }
-    let before = known.rate_limit;
+    let before = known.report;
     let is_newer = sent_at > known.limit_named_at;
     match signals.rate_limit {
         SignalValue::Present(limit) => {
-            if is_newer || before.is_none_or(|before| limit < before) {
-                known.rate_limit = Some(limit);
+            if is_newer || before.rate_limit.is_none_or(|before| limit < before) {
+                known.set_rate_limit(Some(limit), now);
             }
             known.limit_named_at = now;
         }
-        SignalValue::Absent if has_run && is_newer => known.rate_limit = None,
+        SignalValue::Absent if has_run && is_newer => known.set_rate_limit(None, now),
         SignalValue::Absent | SignalValue::Malformed => {}
     }
-    if known.rate_limit == before {
+    known.enforce(now);
+    known.is_observed |= has_run;
+    known.report.observer = observer;
+    known.report.sequence = sequence;
+    let source = timeline::SignalSource::Response;
+    record_change(known, before, (&target, request, source), now, output);
+    Some(known.report)
+}
+
+/// Takes over what another node reports on a target if it is newer than what is known here.
+fn receive_report(
+    state: &mut reducer::EngineState,
+    received: &ReceivedReport,
+    output: &mut event::ReducerOutput,
+) {
+    let (now, target) = (state.now, &received.target);
+    let own_target = state.membership.targets.get(target);
+    let is_own = own_target.is_some();
+    let incarnation = received.report.incarnation;
+    if own_target.is_some_and(|own_target| own_target.record.incarnation > incarnation) {
+        return;
+    }
+    let Some(known) = state.signals.of_incarnation(target, incarnation, now) else {
+        return;
+    };
+    let before = known.report;
+    let version = |report: wire::SignalReport| (report.observer, report.sequence);
+    let is_newer = match received.source {
+        // An ingress node knows nothing that a response of the target has not told this process.
+        timeline::SignalSource::IngressNode => {
+            !known.is_observed && version(received.report) > version(before)
+        }
+        // The clock of the owner node may have been set back before it restarted, so the latest
+        // observer need not have the highest number.
+        timeline::SignalSource::OwnerNode | timeline::SignalSource::Response => {
+            received.report.observer != before.observer
+                || received.report.sequence > before.sequence
+        }
+    };
+    if is_newer {
+        known.is_observed = false;
+        known.set_rate_limit(received.report.rate_limit, now);
+        known.report = received.report;
+        known.limit_named_at = now;
+    }
+    if is_own {
+        known.enforce(now);
+    }
+    let cause = (target, &received.request, received.source);
+    record_change(known, before, cause, now, output);
+}
+
+/// Records in the timeline how the signals of a target differ from a report before.
+fn record_change(
+    known: &mut KnownSignals,
+    before: wire::SignalReport,
+    (target, request, source): (&ids::TargetName, &ids::RequestId, timeline::SignalSource),
+    now: time::MonotonicTime,
+    output: &mut event::ReducerOutput,
+) {
+    let rate_limit = known.report.rate_limit;
+    if rate_limit == before.rate_limit || !known.may_record_event(now) {
         return;
     }
-    let request = request.clone();
-    output.record_event(match known.rate_limit {
+    let (target, request) = (target.clone(), request.clone());
+    output.record_event(match rate_limit {
         Some(limit) => timeline::TimelineEvent::TargetLimitNamed {
             target,
             limit: limit.to_string(),
--- /dev/null
+++ b/crates/engine/src/signals/limiter.rs
@@ -0,0 +1,116 @@
+//! Token bucket that holds the requests to one target to the rate limit that it names.
+//!
+//! Each request that is sent to the target takes a token, whoever sends it and whether or not the
+//! target runs it. A new bucket is empty: requests from before it was created, for instance by
+//! the previous process of this node, may have reached the target a moment ago. Tokens go to the
+//! class with the highest priority first: while calls of such a class arrive, other classes leave
+//! it one token.
+
+use std::time::Duration;
+
+use hazeltiller_units::{measure, time};
+use indexmap::IndexMap;
+
+/// Lowest rate at which requests are sent: a target that names a limit of zero shows only in a
+/// response that it takes requests again.
+const MIN_RATE: f64 = 0.25;
+/// Time over which unused tokens add up, besides the one or two that every bucket holds. Longer
+/// than a tick, so that the whole rate can be used.
+const BURST_TIME: Duration = Duration::from_millis(100);
+/// Time for which one token is left for a class after its last call.
+const CLASS_RESERVE_TIME: Duration = Duration::from_secs(2);
+/// Longest retry delay of a refused call.
+const MAX_RETRY_DELAY: Duration = Duration::from_secs(4);
+/// Tolerance for sums of refilled fractions.
+const ROUNDING_ERROR: f64 = 1e-9;
+
+/// Token bucket of a target.
+#[derive(Debug, Clone)]
+pub struct RequestLimiter {
+    /// Refill rate in tokens per second.
+    rate: f64,
+    tokens: f64,
+    /// Refused calls that the rate has not yet made up for; their callers were told to retry.
+    deferred: f64,
+    updated_at: time::MonotonicTime,
+    /// Time of the last call by rank of its class.
+    last_calls: IndexMap<u32, time::MonotonicTime>,
+}
+
+impl RequestLimiter {
+    /// Creates an empty bucket.
+    pub fn new(rate_limit: measure::RequestRate, now: time::MonotonicTime) -> Self {
+        Self {
+            rate: rate_limit.per_second().max(MIN_RATE),
+            tokens: 0.0,
+            deferred: 0.0,
+            updated_at: now,
+            last_calls: IndexMap::new(),
+        }
+    }
+
+    /// Changes the rate. Tokens that exceed the new capacity are lost.
+    pub fn set_rate(&mut self, rate_limit: measure::RequestRate, now: time::MonotonicTime) {
+        self.refill(now);
+        self.rate = rate_limit.per_second().max(MIN_RATE);
+        self.refill(now);
+    }
+
+    /// Records that a call of a class with this rank arrived.
+    pub fn record_call(&mut self, rank: u32, now: time::MonotonicTime) {
+        self.last_calls.insert(rank, now);
+        self.last_calls
+            .retain(|_, last| now.since(*last) < CLASS_RESERVE_TIME);
+    }
+
+    /// Returns the time until a call of a class with this rank may be sent if `ahead` others go
+    /// first; zero if it may be sent now.
+    pub fn wait(&mut self, rank: u32, ahead: usize, now: time::MonotonicTime) -> Duration {
+        self.refill(now);
+        let missing = self.required_tokens(rank, now) + ahead as f64 - self.tokens;
+        if missing <= ROUNDING_ERROR {
+            return Duration::ZERO;
+        }
+        Duration::from_secs_f64(missing / self.rate)
+    }
+
+    /// Takes the token of a request that is sent.
+    pub fn take(&mut self, now: time::MonotonicTime) {
+        self.refill(now);
+        self.tokens -= 1.0;
+    }
+
+    /// Counts a refused call and returns its retry delay: the time in which the rate makes up for
+    /// all calls that were refused lately.
+    pub fn defer(&mut self, now: time::MonotonicTime) -> Duration {
+        self.refill(now);
+        let max_deferred = self.rate * MAX_RETRY_DELAY.as_secs_f64();
+        self.deferred = (self.deferred + 1.0).min(max_deferred.max(1.0));
+        Duration::from_secs_f64(self.deferred / self.rate).min(MAX_RETRY_DELAY)
+    }
+
+    /// Returns the number of tokens that must be there for a call of a class with this rank.
+    fn required_tokens(&self, rank: u32, now: time::MonotonicTime) -> f64 {
+        let mut last_calls = self.last_calls.iter();
+        let is_reserved =
+            last_calls.any(|(other, last)| *other < rank && now.since(*last) < CLASS_RESERVE_TIME);
+        if is_reserved {
+            self.capacity().min(2.0)
+        } else {
+            1.0
+        }
+    }
+
+    /// Returns the largest number of tokens. Below two, requests of a target that names less than
+    /// one a second would come in pairs.
+    fn capacity(&self) -> f64 {
+        1.0 + self.rate.min(1.0) + self.rate * BURST_TIME.as_secs_f64()
+    }
+
+    fn refill(&mut self, now: time::MonotonicTime) {
+        let earned = now.since(self.updated_at).as_secs_f64() * self.rate;
+        self.tokens = (self.tokens + earned).min(self.capacity());
+        self.deferred = (self.deferred - earned).max(0.0);
+        self.updated_at = now;
+    }
+}
--- a/crates/testkit/src/model/run/callers.rs
+++ b/crates/testkit/src/model/run/callers.rs
@@ -105,7 +105,9 @@
                         .push(refusal_time.as_micros() as u64);
                     self.finish(call, Err(retry_after));
                 }
-                calls::CallEffect::Run(..) | calls::CallEffect::Replay(..) => {
+                calls::CallEffect::Run(..)
+                | calls::CallEffect::Replay(..)
+                | calls::CallEffect::ReportSignals(..) => {
                     unreachable!("ingress nodes have no local targets")
                 }
             }
--- a/crates/wire/src/calls.rs
+++ b/crates/wire/src/calls.rs
@@ -93,6 +93,8 @@
     Deadline,
     /// Maximum number of attempts of a call.
     Tries,
+    /// Requests per second that a target of a service names in its responses.
+    TargetRate,
 }
 
 impl LimitField {
@@ -106,6 +108,7 @@
             Self::TargetLatency => "target_latency_ms",
             Self::Deadline => "deadline_ms",
             Self::Tries => "tries",
+            Self::TargetRate => "target_rate",
         }
     }
 }
@@ -121,7 +124,12 @@
 
 impl fmt::Display for CallLimit {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{} limits.{}", self.entry, self.field.as_str())
+        match self.field {
+            LimitField::TargetRate => {
+                write!(f, "rate limit named by a target of {}", self.entry)
+            }
+            _ => write!(f, "{} limits.{}", self.entry, self.field.as_str()),
+        }
     }
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod quarantine;
 pub mod replication;
 pub mod rollout;
+pub mod signals;
