Signals: a target that says that it leaves gets no more calls

Callers' requests went on to a target that had said in its responses that it leaves, until its announcement came, and also after it when the announcement of the same incarnation said ready (215 and 183 requests where none is allowed).

The owner node now takes the notice for the announcement of a drain: the record says draining, queued calls are refused as not run, health checks stop, and a later announcement of the same incarnation does not undo it. Each ingress node that gets the report with a response leaves the target out of every choice, whatever the owner node's process knows after a restart. The next incarnation is used at once.

--- a/crates/engine/src/health.rs
+++ b/crates/engine/src/health.rs
@@ -154,6 +154,9 @@
     output: &mut event::ReducerOutput,
 ) {
     let record = &state.membership.targets[&target].record;
+    if state.signals.is_leaving(&target, record.incarnation) {
+        return;
+    }
     let service = state.dissemination.in_force.service(&record.service);
     let Some(probe_settings) = service.and_then(|service| service.probe.as_ref()) else {
         return;
--- a/crates/engine/src/membership/own.rs
+++ b/crates/engine/src/membership/own.rs
@@ -66,8 +66,12 @@
         });
     }
     let lease_expires_at = state.now + announcement.lease;
-    let (record, sequence) = (announcement.record, announcement.sequence);
+    let (mut record, sequence) = (announcement.record, announcement.sequence);
     let name = record.name.clone();
+    // What the target said to callers goes before what it announces.
+    if state.signals.is_leaving(&name, record.incarnation) {
+        record.state = wire::TargetState::Draining;
+    }
     if sequence.is_some() {
         remove_displaced(state, &record, output);
     }
@@ -116,6 +120,24 @@
     }
 }
 
+/// Offers a target no more calls, since it said in a response that it leaves. The notice may come
+/// before the announcement.
+pub fn drain(
+    state: &mut reducer::EngineState,
+    name: &ids::TargetName,
+    output: &mut event::ReducerOutput,
+) {
+    let Some(target) = state.membership.targets.get_mut(name) else {
+        return;
+    };
+    if target.record.state == wire::TargetState::Draining {
+        return;
+    }
+    target.record.state = wire::TargetState::Draining;
+    state.membership.publish_targets();
+    calls::evict(state, name, output);
+}
+
 /// Returns whether an announcement does not come from one of this node's targets: it names a
 /// service that is not in the catalogue, but the name or address of a target whose service is.
 fn is_foreign(state: &reducer::EngineState, record: &wire::TargetRecord) -> bool {
--- a/crates/engine/src/routing.rs
+++ b/crates/engine/src/routing.rs
@@ -257,10 +257,9 @@
     target: &table::ReadyTarget,
 ) -> bool {
     let (name, incarnation) = (&target.target, target.incarnation);
-    let closed_time = state
-        .signals
-        .closed_time(name, incarnation, request.rank, state.now);
-    closed_time.is_zero()
+    let signals = &state.signals;
+    let closed_time = signals.closed_time(name, incarnation, request.rank, state.now);
+    closed_time.is_zero() && !signals.is_leaving(name, incarnation)
 }
 
 /// Returns the time until the first target of a service that is at the rate limit it names is
--- a/crates/engine/src/signals.rs
+++ b/crates/engine/src/signals.rs
@@ -10,7 +10,8 @@
 //! A signal holds for one incarnation of its target. What a response says counts in the order in
 //! which the target wrote the responses, and of two responses that were under way together that
 //! order is unknown. A limit is therefore raised or ended only by the response to a run that was
-//! sent after the limit had been named last; a lower one counts at once.
+//! sent after the limit had been named last; a lower one counts at once. A leaving notice is never
+//! taken back: the next incarnation of the target is used again.
 
 use std::time::Duration;
 
@@ -18,7 +19,7 @@
 use hazeltiller_wire::signals as wire;
 use indexmap::{IndexMap, IndexSet};
 
-use crate::{calls, event, reducer, settings, timeline};
+use crate::{calls, event, membership, reducer, settings, timeline};
 
 pub mod closure;
 pub mod limiter;
@@ -174,6 +175,17 @@
         self.report(target)?.rate_limit
     }
 
+    /// Returns whether an incarnation of a target, or a later one, said that it leaves.
+    pub fn is_leaving(
+        &self,
+        target: &ids::TargetName,
+        incarnation: ids::IncarnationNumber,
+    ) -> bool {
+        let known = self.targets.get(target);
+        known
+            .is_some_and(|known| known.report.is_leaving && known.report.incarnation >= incarnation)
+    }
+
     /// Returns the latest report on each target that signals something.
     pub fn reports(&self) -> impl Iterator<Item = (&ids::TargetName, &wire::SignalReport)> {
         let reports = self
@@ -374,13 +386,18 @@
         SignalValue::Absent if has_run && is_newer => known.set_rate_limit(None, now),
         SignalValue::Absent | SignalValue::Malformed => {}
     }
+    known.report.is_leaving |= signals.leaving == SignalValue::Present(());
     known.enforce(now);
     known.is_observed |= has_run;
     known.report.observer = observer;
     known.report.sequence = sequence;
     let source = timeline::SignalSource::Response;
     record_change(known, before, (&target, request, source), now, output);
-    Some(known.report)
+    let report = known.report;
+    if report.is_leaving {
+        membership::own::drain(state, &target, output);
+    }
+    Some(report)
 }
 
 /// Takes over what another node reports on a target if it is newer than what is known here.
@@ -419,11 +436,15 @@
         known.report = received.report;
         known.limit_named_at = now;
     }
+    known.report.is_leaving = before.is_leaving || received.report.is_leaving;
     if is_own {
         known.enforce(now);
     }
     let cause = (target, &received.request, received.source);
     record_change(known, before, cause, now, output);
+    if known.report.is_leaving && is_own {
+        membership::own::drain(state, target, output);
+    }
 }
 
 /// Records in the timeline how the signals of a target differ from a report before.
@@ -434,6 +455,13 @@
     now: time::MonotonicTime,
     output: &mut event::ReducerOutput,
 ) {
+    if known.report.is_leaving && !before.is_leaving {
+        output.record_event(timeline::TimelineEvent::TargetLeaving {
+            target: target.clone(),
+            request: request.clone(),
+            source,
+        });
+    }
     let rate_limit = known.report.rate_limit;
     if rate_limit == before.rate_limit || !known.may_record_event(now) {
         return;
