Signals: a limit that no response confirms lets one request a second out; simulation of limits under faults

The simulation of nodes and targets gets signals of targets, and faults of their owner nodes: restarts, pauses and cuts that overlap, at random.

No node can know a limit that no response has named; so a limit that was not named for a second lets one request a second out until a response names it.

--- a/crates/engine/src/signals.rs
+++ b/crates/engine/src/signals.rs
@@ -388,6 +388,9 @@
     }
     known.report.is_leaving |= signals.leaving == SignalValue::Present(());
     known.enforce(now);
+    if let (SignalValue::Present(_), Some(limiter)) = (signals.rate_limit, &mut known.limiter) {
+        limiter.confirm(now);
+    }
     known.is_observed |= has_run;
     known.report.observer = observer;
     known.report.sequence = sequence;
--- a/crates/engine/src/signals/limiter.rs
+++ b/crates/engine/src/signals/limiter.rs
@@ -5,6 +5,9 @@
 //! the previous process of this node, may have reached the target a moment ago. Tokens go to the
 //! class with the highest priority first: while calls of such a class arrive, other classes leave
 //! it one token.
+//!
+//! A limit that no response has confirmed lately may have been lowered meanwhile, for instance while
+//! this process was paused. Requests then go out one at a time until a response tells.
 
 use std::time::Duration;
 
@@ -19,6 +22,8 @@
 const BURST_TIME: Duration = Duration::from_millis(100);
 /// Time for which one token is left for a class after its last call.
 const CLASS_RESERVE_TIME: Duration = Duration::from_secs(2);
+/// Time for which a response confirms the limit, and interval of requests while none does.
+const CONFIRMATION_TIME: Duration = Duration::from_secs(1);
 /// Longest retry delay of a refused call.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(4);
 /// Tolerance for sums of refilled fractions.
@@ -33,6 +38,10 @@
     /// Refused calls that the rate has not yet made up for; their callers were told to retry.
     deferred: f64,
     updated_at: time::MonotonicTime,
+    /// When a response of the target last named the limit.
+    confirmed_at: Option<time::MonotonicTime>,
+    /// When the last request was sent.
+    sent_at: Option<time::MonotonicTime>,
     /// Time of the last call by rank of its class.
     last_calls: IndexMap<u32, time::MonotonicTime>,
 }
@@ -45,6 +54,8 @@
             tokens: 0.0,
             deferred: 0.0,
             updated_at: now,
+            confirmed_at: None,
+            sent_at: None,
             last_calls: IndexMap::new(),
         }
     }
@@ -56,6 +67,11 @@
         self.refill(now);
     }
 
+    /// Records that a response of the target named the limit.
+    pub fn confirm(&mut self, now: time::MonotonicTime) {
+        self.confirmed_at = Some(now);
+    }
+
     /// Records that a call of a class with this rank arrived.
     pub fn record_call(&mut self, rank: u32, now: time::MonotonicTime) {
         self.last_calls.insert(rank, now);
@@ -68,16 +84,31 @@
     pub fn wait(&mut self, rank: u32, ahead: usize, now: time::MonotonicTime) -> Duration {
         self.refill(now);
         let missing = self.required_tokens(rank, now) + ahead as f64 - self.tokens;
-        if missing <= ROUNDING_ERROR {
-            return Duration::ZERO;
+        let refill_wait = if missing <= ROUNDING_ERROR {
+            Duration::ZERO
+        } else {
+            Duration::from_secs_f64(missing / self.rate)
+        };
+        refill_wait.max(self.confirmation_wait(now))
+    }
+
+    /// Returns the time until a request may be sent that is to confirm the limit; zero if the limit
+    /// is confirmed.
+    fn confirmation_wait(&self, now: time::MonotonicTime) -> Duration {
+        let is_recent = |at: time::MonotonicTime| now.since(at) < CONFIRMATION_TIME;
+        match self.sent_at {
+            Some(sent_at) if is_recent(sent_at) && !self.confirmed_at.is_some_and(is_recent) => {
+                CONFIRMATION_TIME.saturating_sub(now.since(sent_at))
+            }
+            _ => Duration::ZERO,
         }
-        Duration::from_secs_f64(missing / self.rate)
     }
 
     /// Takes the token of a request that is sent.
     pub fn take(&mut self, now: time::MonotonicTime) {
         self.refill(now);
         self.tokens -= 1.0;
+        self.sent_at = Some(now);
     }
 
     /// Counts a refused call and returns its retry delay: the time in which the rate makes up for
--- a/crates/testkit/src/model.rs
+++ b/crates/testkit/src/model.rs
@@ -7,6 +7,8 @@
 
 use std::time::Duration;
 
+use hazeltiller_engine::signals;
+use hazeltiller_units::time;
 use serde_json::Value;
 
 mod run;
@@ -98,6 +100,43 @@
     AtEnd,
 }
 
+/// Fault or change at a target or its owner node, scheduled with [`CallModel::schedule_fault`].
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum TargetFault {
+    /// From now on the responses of the target have these signals.
+    Signals(signals::ResponseSignals),
+    /// The process of the owner node is killed and starts anew at once; its calls are lost.
+    OwnerRestarted,
+    /// The process of the owner node is paused for a time. Offers and responses wait.
+    OwnerPaused(Duration),
+    /// The owner node is cut off from all ingress nodes for a time.
+    OwnerCut(Duration),
+}
+
+/// A request that reached a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TargetArrival {
+    /// Time of the arrival.
+    pub at: time::MonotonicTime,
+    /// Index of the target.
+    pub target: usize,
+    /// Index of the ingress node at which the request began.
+    pub ingress: usize,
+}
+
+/// A response with signals that an ingress node passed on to a caller.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct SignalledResponse {
+    /// Time at which the ingress node received it.
+    pub at: time::MonotonicTime,
+    /// Index of the target.
+    pub target: usize,
+    /// Index of the ingress node.
+    pub ingress: usize,
+    /// The signals.
+    pub signals: signals::ResponseSignals,
+}
+
 /// Settings of a simulation.
 #[derive(Debug, Clone)]
 pub struct ModelSettings {
--- a/crates/testkit/src/model/run.rs
+++ b/crates/testkit/src/model/run.rs
@@ -6,9 +6,9 @@
     time::Duration,
 };
 
-use hazeltiller_engine::calls;
+use hazeltiller_engine::{calls, signals};
 use hazeltiller_units::time;
-use hazeltiller_wire::calls as wire;
+use hazeltiller_wire::{calls as wire, signals as wire_signals};
 use indexmap::IndexMap;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -18,6 +18,7 @@
 mod callers;
 mod owners;
 mod processor;
+mod target_faults;
 
 const TICK: Duration = Duration::from_millis(20);
 const DATA_CENTRE: &str = "brasov-a";
@@ -36,6 +37,10 @@
     /// A run has finished its own work.
     WorkEnded(u64),
     AnswerReceived(u64),
+    /// Starts the scheduled fault with this index.
+    FaultStarted(usize),
+    /// The target of a restarted owner node announces itself again.
+    TargetAnnounced(usize),
     Tick,
 }
 
@@ -55,6 +60,12 @@
     is_work_done: bool,
     /// Whether a call of its run has failed.
     has_failed: bool,
+    /// What the ingress node reports of the target's signals.
+    report: Option<wire_signals::SignalReport>,
+    /// Signals in the response, once the target has written it.
+    signals: Option<signals::ResponseSignals>,
+    /// What the owner node reports of the target's signals with the response.
+    answer_report: Option<wire_signals::SignalReport>,
 }
 
 #[derive(Debug, Clone)]
@@ -79,6 +90,14 @@
     queue: VecDeque<u64>,
     /// Load report that is sent with the answer of a run, by attempt.
     loads: IndexMap<u64, wire::LoadReport>,
+    /// Signals in the responses that the target writes.
+    signals: signals::ResponseSignals,
+    /// Sequence number of the owner node's member record.
+    record_sequence: u64,
+    /// Time until which the owner node's process is paused.
+    paused_until: time::MonotonicTime,
+    /// Time until which the owner node is cut off.
+    cut_until: time::MonotonicTime,
 }
 
 /// Simulation of callers, nodes and targets.
@@ -109,6 +128,9 @@
     /// Calls in flight by ingress node and target.
     in_flight: Vec<Vec<u32>>,
     processors: processor::NodeProcessors,
+    faults: Vec<(usize, model::TargetFault)>,
+    arrivals: Vec<model::TargetArrival>,
+    signalled: Vec<model::SignalledResponse>,
 }
 
 impl CallModel {
@@ -142,6 +164,10 @@
                 running: 0,
                 queue: VecDeque::new(),
                 loads: IndexMap::new(),
+                signals: signals::ResponseSignals::default(),
+                record_sequence: 1,
+                paused_until: time::MonotonicTime::default(),
+                cut_until: time::MonotonicTime::default(),
             });
         }
         let in_flight = vec![vec![0; targets.len()]; ingresses.len()];
@@ -163,6 +189,9 @@
             calls: IndexMap::new(),
             attempts: IndexMap::new(),
             processors: processor::NodeProcessors::default(),
+            faults: Vec::new(),
+            arrivals: Vec::new(),
+            signalled: Vec::new(),
         }
     }
 
@@ -224,6 +253,8 @@
             ModelEvent::OfferReceived(number) => self.receive_offer(number),
             ModelEvent::WorkEnded(number) => self.end_work(number),
             ModelEvent::AnswerReceived(number) => self.receive_answer(number),
+            ModelEvent::FaultStarted(index) => self.start_fault(index),
+            ModelEvent::TargetAnnounced(target) => self.announce_again(target),
             ModelEvent::Tick => self.tick(),
         }
     }
--- a/crates/testkit/src/model/run/callers.rs
+++ b/crates/testkit/src/model/run/callers.rs
@@ -135,8 +135,14 @@
             inner_calls_left: 0,
             is_work_done: false,
             has_failed: false,
+            report: plan.signals,
+            signals: None,
+            answer_report: None,
         };
         self.attempts.insert(number, attempt);
+        if self.now < self.targets[target].cut_until {
+            return self.reply(number, calls::AttemptResult::NotReached, None);
+        }
         self.schedule_at_owner(
             target,
             self.settings.link,
@@ -179,6 +185,7 @@
     pub(super) fn receive_answer(&mut self, number: u64) {
         let attempt = self.attempts.swap_remove(&number);
         let attempt = attempt.expect("an attempt is answered once");
+        self.receive_signals(&attempt);
         let (result, load) = attempt
             .result
             .expect("the result is set before the answer is sent");
--- a/crates/testkit/src/model/run/owners.rs
+++ b/crates/testkit/src/model/run/owners.rs
@@ -16,7 +16,14 @@
 
 impl CallModel {
     pub(super) fn receive_offer(&mut self, number: u64) {
-        let attempt = self.attempts[&number].clone();
+        // An attempt that was lost meanwhile has ended.
+        let Some(attempt) = self.attempts.get(&number).cloned() else {
+            return;
+        };
+        if attempt.result.is_some() || self.is_deferred(attempt.target, number) {
+            return;
+        }
+        self.report_to_owner(&attempt);
         let event = calls::CallEvent::Offered {
             call: ids::CallId(number),
             offer: attempt.offer,
@@ -37,6 +44,9 @@
                     self.targets[target].loads.insert(call.0, plan.load);
                     self.receive_request(target, call.0);
                 }
+                calls::CallEffect::ReportSignals(call, report) => {
+                    self.attempts[&call.0].answer_report = report;
+                }
                 calls::CallEffect::Refuse(call, refusal) => {
                     self.reply(call.0, calls::AttemptResult::Refused(refusal), None);
                 }
@@ -47,6 +57,12 @@
 
     /// Runs, queues or refuses a request that a target receives.
     pub(super) fn receive_request(&mut self, target: usize, number: u64) {
+        let call = self.attempts[&number].call;
+        self.arrivals.push(model::TargetArrival {
+            at: self.now,
+            target,
+            ingress: self.calls[&call].ingress,
+        });
         let state = &mut self.targets[target];
         if state.settings.is_broken {
             return self.end_run(number, calls::RunResult::Crashed);
@@ -106,6 +122,14 @@
         let Some(attempt) = self.attempts.get_mut(&number) else {
             return;
         };
+        let target = attempt.target;
+        let written = self.targets[target].signals;
+        attempt.signals.get_or_insert(written);
+        if self.is_paused(target) {
+            let until = self.targets[target].paused_until;
+            return self.schedule(until.since(self.now), ModelEvent::WorkEnded(number));
+        }
+        let attempt = &mut self.attempts[&number];
         attempt.is_work_done = true;
         let call = attempt.call;
         let inner = self.kind(self.calls[&call].kind).inner;
@@ -164,6 +188,9 @@
         let target = self.attempts[&number].target;
         let load = self.targets[target].loads.swap_remove(&number);
         let call = ids::CallId(number);
+        if matches!(result, calls::RunResult::Done { .. }) {
+            self.observe_signals(number);
+        }
         self.reduce_at_owner(target, calls::CallEvent::RunEnded { call, result });
         let answer = match result {
             calls::RunResult::Done { status } => calls::AttemptResult::Answered { status },
@@ -192,6 +219,9 @@
     /// Handles a tick at all owner nodes and schedules the next one while there are calls.
     pub(super) fn tick(&mut self) {
         for target in 0..self.targets.len() {
+            if self.is_paused(target) {
+                continue;
+            }
             self.targets[target].node.now = self.now;
             let effects = self.targets[target].node.advance(Duration::ZERO);
             self.run_owner_effects(target, effects);
