Signals: shown to operators and in refusals; tests of their rules; the soak's targets name limits and leave

The list of targets, its command, two gauges and the lines of refused calls show what a target signals and which limit decided.

The soak names limits, malformed ones among them, and leaving notices beside its other faults, and checks the targets' arrivals against both.

--- a/crates/daemon/src/gauges.rs
+++ b/crates/daemon/src/gauges.rs
@@ -38,6 +38,17 @@
         let slots = metrics.slots.with_label_values(&labels);
         slots.set(i64::from(report.slots));
     }
+    metrics.signalling_targets.reset();
+    for (_, report) in state.signals.reports() {
+        let signals = [
+            ("rate_limit", report.rate_limit.is_some()),
+            ("leaving", report.is_leaving),
+        ];
+        for (signal, is_present) in signals {
+            let gauge = metrics.signalling_targets.with_label_values(&[signal]);
+            gauge.add(i64::from(is_present));
+        }
+    }
     metrics.targets.reset();
     for record in state.membership.present() {
         for target in &record.targets {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -129,6 +129,8 @@
     members: gauge "hazeltiller_members" ["state"];
     /// Targets that this process knows, by what they say of themselves.
     targets: gauge "hazeltiller_targets" ["service", "state"];
+    /// Targets that signal, as this process knows: rate_limit (it names one) or leaving.
+    signalling_targets: gauge "hazeltiller_signalling_targets" ["signal"];
     /// Bytes sent to other processes, by link and reason.
     sent_bytes: counter "hazeltiller_sent_bytes_total" ["peer", "reason"];
     /// Bytes received from other processes, by reason.
--- a/crates/daemon/src/observer.rs
+++ b/crates/daemon/src/observer.rs
@@ -38,6 +38,8 @@
     status: u16,
     /// Events of the call, logged when it has ended.
     records: Vec<timeline::TimelineRecord>,
+    /// Target that it was last offered to.
+    target: Option<ids::TargetName>,
     /// Whether it occupies a slot of a local target.
     has_slot: bool,
     /// Known once a target has been selected, as are class and route.
@@ -88,6 +90,7 @@
             latency_left: Duration::MAX,
             status: 0,
             records: Vec::new(),
+            target: None,
             has_slot: false,
             service: None,
             class: None,
@@ -218,6 +221,7 @@
                 self.set_call_names(*call, [&offer.service, &offer.class, &offer.route]);
                 self.usage.of_route(&offer.route).offers += 1;
                 if let Some(open_call) = self.calls.get_mut(call) {
+                    open_call.target = Some(offer.target.clone());
                     open_call.latency_left =
                         Duration::from_millis(u64::from(offer.latency_left_ms));
                 }
@@ -319,6 +323,9 @@
                 self.count_attempt(&plan.offer);
                 self.usage.of_route(&plan.offer.route).attempts += 1;
                 self.start_step(*call);
+                if let Some(open_call) = self.calls.get_mut(call) {
+                    open_call.target = Some(plan.candidate.target.clone());
+                }
                 self.record_call(*call, |request| TimelineEvent::CallTried {
                     request,
                     attempt: plan.offer.attempt,
@@ -376,13 +383,36 @@
                         [&attributes.service, &attributes.class, &attributes.route],
                     );
                 }
-                self.call_refused(*call, refusal);
+                let limit = self.describe_limit(state, *call, refusal);
+                self.call_refused(*call, refusal, limit);
             }
             calls::CallEffect::Replay(..) | calls::CallEffect::ReportSignals(..) => {}
         }
     }
 
-    fn call_refused(&mut self, call: ids::CallId, refusal: &hazeltiller_wire::calls::CallRefusal) {
+    /// Describes the limit that caused a refusal, with its value if the target named it.
+    fn describe_limit(
+        &self,
+        state: &reducer::EngineState,
+        call: ids::CallId,
+        refusal: &hazeltiller_wire::calls::CallRefusal,
+    ) -> Option<String> {
+        let limit = refusal.limit.as_ref()?;
+        let target = self.calls.get(&call)?.target.as_ref();
+        let target = target.filter(|_| refusal.code == code::ResultCode::TargetLimited);
+        let named = target.and_then(|target| Some((target, state.signals.rate_limit(target)?)));
+        Some(match named {
+            Some((target, rate)) => format!("{limit}: {target} takes {rate}/s"),
+            None => limit.to_string(),
+        })
+    }
+
+    fn call_refused(
+        &mut self,
+        call: ids::CallId,
+        refusal: &hazeltiller_wire::calls::CallRefusal,
+        limit: Option<String>,
+    ) {
         let Some(open_call) = self.calls.get(&call) else {
             return;
         };
@@ -421,6 +451,7 @@
                 code,
                 outcome: refusal.outcome,
                 retry_after_ms: refusal.retry_after_ms,
+                limit,
                 took_us,
             });
         }
@@ -428,7 +459,7 @@
         let refused = TimelineEvent::OfferRefused {
             request,
             code,
-            limit: refusal.limit.as_ref().map(ToString::to_string),
+            limit,
             running: load.map(|load| load.in_flight),
             queued: load.map(|load| load.queued),
             slots: load.map(|load| load.slots),
--- a/crates/daemon/src/operators/fleet.rs
+++ b/crates/daemon/src/operators/fleet.rs
@@ -5,7 +5,7 @@
     membership::reach,
     reducer,
 };
-use hazeltiller_units::{code, ids};
+use hazeltiller_units::{code, ids, measure};
 use hazeltiller_wire::membership as wire;
 use hyper::{Response, StatusCode};
 use serde::Serialize;
@@ -92,6 +92,11 @@
     instance: ids::InstanceName,
     data_centre: ids::DataCentreName,
     reachability: &'static str,
+    /// Rate limit that the target names in its responses, in requests per second, if this process
+    /// knows of one.
+    rate_limit: Option<measure::RequestRate>,
+    /// Whether this process knows that the target said in a response that it leaves.
+    leaving: bool,
 }
 
 /// All known targets.
@@ -111,6 +116,8 @@
                 instance: identity.instance.clone(),
                 data_centre: identity.data_centre.clone(),
                 reachability,
+                rate_limit: state.signals.rate_limit(&target.name),
+                leaving: state.signals.is_leaving(&target.name, target.incarnation),
             })
         });
         let targets = documents.collect();
--- a/crates/engine/src/health.rs
+++ b/crates/engine/src/health.rs
@@ -18,9 +18,6 @@
 pub use ejection::{EjectionState, connect_retry_delay, ejected_targets};
 pub use outcome::OutcomeWindow;
 
-/// Rank of a health check among the calls to its target: below all classes.
-const PROBE_RANK: u32 = u32::MAX;
-
 /// Events of health checking.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum HealthEvent {
@@ -154,7 +151,10 @@
     output: &mut event::ReducerOutput,
 ) {
     let record = &state.membership.targets[&target].record;
-    if state.signals.is_leaving(&target, record.incarnation) {
+    // A health check is a request too. A target that names a rate limit is left to its calls, whose
+    // responses tell more.
+    let signals = &state.signals;
+    if signals.rate_limit(&target).is_some() || signals.is_leaving(&target, record.incarnation) {
         return;
     }
     let service = state.dissemination.in_force.service(&record.service);
@@ -168,15 +168,6 @@
     }
     let period = Duration::from_millis(u64::from(probe_settings.period_ms));
     health.next_probe_at = now + period;
-    // A probe counts as a request. A target at the rate limit that it names is left to its calls.
-    let is_limited = !state
-        .signals
-        .limit_wait(&target, PROBE_RANK, 0, now)
-        .is_zero();
-    if is_limited {
-        return;
-    }
-    state.signals.count_request(&target, now);
     let plan = ProbePlan {
         target,
         address: record.address,
--- a/crates/engine/src/timeline.rs
+++ b/crates/engine/src/timeline.rs
@@ -355,6 +355,9 @@
         outcome: calls::CallOutcome,
         /// Retry delay that the caller was given, in milliseconds; 0 if none.
         retry_after_ms: u32,
+        /// Limit that caused the refusal, if one did.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        limit: Option<String>,
         /// Time since the request arrived, in microseconds.
         took_us: u64,
     },
--- a/crates/wire/tests/decoders.rs
+++ b/crates/wire/tests/decoders.rs
@@ -11,6 +11,7 @@
 use hazeltiller_units::{code, ids, time};
 use hazeltiller_wire::{
     calls, codec, dissemination, handshake, membership, message, replication as wire_replication,
+    signals,
 };
 use proptest::{
     collection,
@@ -118,6 +119,7 @@
         round_trip_header::<calls::CallRefusal>(text),
         round_trip_header::<calls::LoadReport>(text),
         round_trip_header::<message::HybridTime>(text),
+        round_trip_header::<signals::SignalReport>(text),
     ];
     decoded.iter().filter(|is_decoded| **is_decoded).count()
 }
@@ -274,9 +276,14 @@
         },
         100,
     );
+    let report = signals::SignalReport {
+        rate_limit: Some("2.5".parse().expect("a valid rate")),
+        ..signals::SignalReport::default()
+    };
     let texts = [
         codec::encode_header(&offer()),
         codec::encode_header(&refusal),
+        codec::encode_header(&report),
     ];
     for text in &texts {
         assert!(
--- a/fuzz/fuzz_targets/headers.rs
+++ b/fuzz/fuzz_targets/headers.rs
@@ -2,7 +2,7 @@
 
 #![no_main]
 
-use hazeltiller_wire::{calls, codec, message};
+use hazeltiller_wire::{calls, codec, message, signals};
 use libfuzzer_sys::fuzz_target;
 
 fuzz_target!(|text: &str| {
@@ -13,4 +13,5 @@
     drop(codec::decode_header::<calls::CallRefusal>(text));
     drop(codec::decode_header::<calls::LoadReport>(text));
     drop(codec::decode_header::<message::HybridTime>(text));
+    drop(codec::decode_header::<signals::SignalReport>(text));
 });
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -141,7 +141,7 @@
 /// Columns printed for each accepted change.
 const HISTORY_COLUMNS: [&str; 3] = ["version", "accepted_at_ms", "change_id"];
 /// Columns printed for each target.
-const TARGET_COLUMNS: [&str; 7] = [
+const TARGET_COLUMNS: [&str; 9] = [
     "name",
     "service",
     "state",
@@ -149,6 +149,8 @@
     "data_centre",
     "slots",
     "reachability",
+    "rate_limit",
+    "leaving",
 ];
 
 impl RootCommand {
--- a/src/commands/explain.rs
+++ b/src/commands/explain.rs
@@ -155,9 +155,11 @@
         let run = run.map_or_else(String::new, |failure| {
             format!("; the last run at {target} ended: {failure}")
         });
+        let named = |limit: &String| !limit.is_empty() && limit != "null";
         let limit = last("offer_refused").map(|step| text(step, "limit"));
         let limit = limit
-            .filter(|limit| !limit.is_empty() && limit != "null")
+            .filter(named)
+            .or_else(|| Some(text(refused, "limit")).filter(named))
             .map_or_else(String::new, |limit| format!("; limit: {limit}"));
         return format!("refused with {code}: {meaning}{limit}{run}");
     }
--- a/tests/all/soak.rs
+++ b/tests/all/soak.rs
@@ -3,18 +3,20 @@
 //! The seed determines the sequence of faults, some of which overlap. Thread and network timing
 //! still vary, so running a seed again does not replay a failure exactly; seeds that failed are
 //! kept and run each time. The checks do not depend on timing: the outcomes reported to callers
-//! agree with the run logs of the targets, catalogue versions never decrease within a process, and
-//! all requests are served again after the faults.
+//! agree with the run logs of the targets, catalogue versions never decrease within a process,
+//! targets get no more than the rate limits that they name and nothing from a node that passed their
+//! leaving notice on, and all requests are served again after the faults.
 //!
-//! `HAZELTILLER_SOAK_SEEDS=1,2,3` runs these seeds instead of the default ones.
+//! `HAZELTILLER_SOAK_SEEDS=1,2,3` runs these seeds instead of the default ones, and
+//! `HAZELTILLER_SOAK_FAULTS=40` injects that many faults for each.
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex},
-    time::Duration,
+    sync::{Arc, Mutex, MutexGuard},
+    time::{Duration, Instant},
 };
 
-use hazeltiller_standin::{behaviour, client, target};
+use hazeltiller_standin::{behaviour, client, headers, target};
 use hazeltiller_testkit::{fleet, proxy, wait};
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
@@ -28,7 +30,7 @@
 const CONTROLS: [&str; 3] = ["control-1", "control-2", "control-3"];
 const NODES: [&str; 3] = ["node-1", "node-2", "node-3"];
 const CALLER_COUNT: usize = 6;
-const FAULT_COUNT: usize = 12;
+const DEFAULT_FAULT_COUNT: usize = 12;
 /// Log entries after which a control writes a snapshot. The number is small so that a few changes
 /// reach the snapshot while a directory at the path of its temporary file makes the write fail.
 const SNAPSHOT_ENTRIES: u64 = 16;
@@ -38,11 +40,37 @@
 /// Seeds that have failed before and run on each check.
 const REGRESSION_SEEDS: [u64; 0] = [];
 
-/// Paths of the requests by the outcome reported to the callers.
+/// Rate limits that targets name, as header values; the last one is malformed and means nothing.
+const RATE_LIMITS: [&str; 5] = ["0", "0.5", "3", "12.5", "many"];
+/// Time after the naming of a limit from which it must be kept.
+const SETTLING_TIME: Duration = Duration::from_secs(3);
+/// Length of the sliding windows in which arrivals at a limited target are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+/// Time after which a node that passed a leaving notice on sends the target nothing.
+const LEAVING_TIME: Duration = Duration::from_secs(2);
+
+/// Paths of the requests by the outcome reported to the callers, and what else the callers saw.
 #[derive(Debug, Default)]
 struct CallerTally {
     answered: Mutex<Vec<String>>,
     not_run: Mutex<Vec<String>>,
+    /// Node and time at which each request was sent, by path.
+    sent: Mutex<IndexMap<String, (SocketAddr, Instant)>>,
+    /// When a node first passed on the leaving notice of a target.
+    leaving: Mutex<IndexMap<(SocketAddr, String), Instant>>,
+}
+
+/// A rate limit that a target names for a time.
+struct NamedLimit {
+    target: target::StandInTarget,
+    limit: f64,
+    named_at: Instant,
+    /// When the target stopped naming it.
+    ended_at: Option<Instant>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().expect("the mutex is not poisoned")
 }
 
 struct SoakRun {
@@ -57,6 +85,7 @@
     target_count: usize,
     /// Catalogue version created by the last acknowledged rollout order; 0 if there is none.
     ordered_version: u64,
+    limits: Vec<NamedLimit>,
 }
 
 /// Sends requests one at a time, each to a unique path, until the list of nodes is empty.
@@ -75,12 +104,21 @@
         let request = request
             .body(Full::from("body"))
             .expect("a valid request URI");
-        let response =
-            client::exchange(node_addresses[sequence % node_addresses.len()], request).await;
+        let node = node_addresses[sequence % node_addresses.len()];
+        lock(&tally.sent).insert(path.clone(), (node, Instant::now()));
+        let response = client::exchange(node, request).await;
         let Ok(response) = response else {
             time::sleep(Duration::from_millis(10)).await;
             continue;
         };
+        let responder = response.headers().get("hazeltiller-target");
+        if let Some(responder) = responder.filter(|_| is_leaving(response.headers())) {
+            let responder = responder.to_str().expect("a target name").to_owned();
+            let mut leaving = lock(&tally.leaving);
+            leaving
+                .entry((node, responder))
+                .or_insert_with(Instant::now);
+        }
         let outcome = response.headers().get("hazeltiller-outcome");
         if response.status() == StatusCode::OK {
             let text = String::from_utf8_lossy(response.body()).into_owned();
@@ -88,22 +126,18 @@
                 text.contains(&path),
                 "{path} got the response to another request: {text}"
             );
-            tally
-                .answered
-                .lock()
-                .expect("the mutex is not poisoned")
-                .push(path);
+            lock(&tally.answered).push(path);
         } else if outcome.is_some_and(|outcome| outcome == "not-run") {
-            tally
-                .not_run
-                .lock()
-                .expect("the mutex is not poisoned")
-                .push(path);
+            lock(&tally.not_run).push(path);
             time::sleep(Duration::from_millis(5)).await;
         }
     }
 }
 
+fn is_leaving(response_headers: &hyper::HeaderMap) -> bool {
+    response_headers.contains_key(headers::LEAVING)
+}
+
 impl SoakRun {
     async fn start(seed: u64) -> Self {
         let mut fleet = fleet::Fleet::new(support::DAEMON);
@@ -131,6 +165,7 @@
             seen_versions: IndexMap::new(),
             target_count: 0,
             ordered_version: 0,
+            limits: Vec::new(),
         };
         soak.change_until_accepted().await;
         for node in NODES {
@@ -229,7 +264,7 @@
     }
 
     async fn inject_fault(&mut self) {
-        match self.random.random_range(0..13) {
+        match self.random.random_range(0..17) {
             0 => self.restart_node(false).await,
             1 => self.restart_node(true).await,
             2 => {
@@ -250,10 +285,105 @@
             7 | 8 => self.fail_snapshot_writes().await,
             9 => self.restart_with_empty_disk().await,
             10 | 11 => self.order_rollout().await,
+            12..=14 => self.name_limit().await,
+            15 => self.leave().await,
             _ => self.send_change().await,
         }
     }
 
+    /// Makes a target name another rate limit, which it does until it names the next one.
+    async fn name_limit(&mut self) {
+        let target = self.targets[self.random.random_range(0..self.targets.len())].clone();
+        let text = RATE_LIMITS[self.random.random_range(0..RATE_LIMITS.len())];
+        target.set_behaviour(behaviour::StandInBehaviour {
+            rate_limit: Some(text.into()),
+            ..target.behaviour()
+        });
+        let now = Instant::now();
+        self.end_limits(|named| named.address == target.address);
+        if let Ok(limit) = text.parse() {
+            self.limits.push(NamedLimit {
+                target,
+                limit,
+                named_at: now,
+                ended_at: None,
+            });
+        }
+        time::sleep(self.random_pause()).await;
+    }
+
+    /// Ends the limits of some targets.
+    fn end_limits(&mut self, ends: impl Fn(&target::StandInTarget) -> bool) {
+        let current = self.limits.iter_mut();
+        for named in current.filter(|named| named.ended_at.is_none() && ends(&named.target)) {
+            named.ended_at = Some(Instant::now());
+        }
+    }
+
+    /// Makes a target say in its responses that it leaves while it still announces itself as ready,
+    /// and adds another one.
+    async fn leave(&mut self) {
+        let index = self.random.random_range(0..self.targets.len());
+        let target = &self.targets[index];
+        target.set_behaviour(behaviour::StandInBehaviour {
+            is_leaving: true,
+            ..target.behaviour()
+        });
+        let node = self.pick(&NODES);
+        self.add_target(node).await;
+        time::sleep(self.random_pause()).await;
+    }
+
+    /// Makes the targets name no limits any more.
+    fn end_all_limits(&mut self) {
+        for target in &self.targets {
+            target.set_behaviour(behaviour::StandInBehaviour {
+                rate_limit: None,
+                ..target.behaviour()
+            });
+        }
+        self.end_limits(|_| true);
+    }
+
+    /// Checks that limited targets got no more than they named.
+    fn check_limits(&self, seed: u64) {
+        for named in &self.limits {
+            let arrivals: Vec<Instant> =
+                named.target.log().arrivals().iter().map(|a| a.at).collect();
+            let ended_at = named.ended_at.unwrap_or_else(Instant::now);
+            let kept = |at: &&Instant| **at >= named.named_at + SETTLING_TIME && **at < ended_at;
+            let allowed = 1.5 * WINDOW.as_secs_f64() * named.limit + 5.0;
+            for start in arrivals.iter().filter(kept) {
+                let in_window = |at: &&Instant| *at >= start && **at < *start + WINDOW;
+                let count = arrivals.iter().filter(kept).filter(in_window).count();
+                assert!(
+                    count as f64 <= allowed,
+                    "seed {seed}: {} got {count} requests in 4 s, allowed {allowed}",
+                    named.target.settings().name
+                );
+            }
+        }
+    }
+
+    /// Checks that leaving targets got nothing from nodes that had passed their notice on.
+    fn check_leaving(&self, tally: &CallerTally, seed: u64) {
+        let (sent, leaving) = (lock(&tally.sent), lock(&tally.leaving));
+        for target in &self.targets {
+            let name = target.settings().name.as_str();
+            for arrival in target.log().arrivals() {
+                let Some((node, sent_at)) = sent.get(&arrival.path).copied() else {
+                    continue;
+                };
+                let told = leaving.get(&(node, name.to_owned()));
+                assert!(
+                    told.is_none_or(|told| sent_at <= *told + LEAVING_TIME),
+                    "seed {seed}: {} reached {name} from {node}",
+                    arrival.path
+                );
+            }
+        }
+    }
+
     async fn restart_node(&mut self, is_graceful: bool) {
         let node = self.pick(&NODES);
         let old_address = self.fleet.instance(node).addresses["target"];
@@ -409,24 +539,25 @@
             Arc::clone(&tally),
         ));
     }
-    for _ in 0..FAULT_COUNT {
+    let fault_count = std::env::var("HAZELTILLER_SOAK_FAULTS").ok();
+    let fault_count = fault_count.map(|count| count.parse().expect("the number of faults"));
+    for _ in 0..fault_count.unwrap_or(DEFAULT_FAULT_COUNT) {
         soak.inject_fault().await;
         soak.check_versions().await;
     }
+    soak.end_all_limits();
     soak.wait_for_recovery().await;
+    soak.check_limits(seed);
     soak.nodes.send_replace(Vec::new());
     while let Some(ended) = callers.join_next().await {
         ended.expect("the caller task did not panic");
     }
+    soak.check_leaving(&tally, seed);
     let mut runs: IndexMap<String, usize> = IndexMap::new();
     for run in soak.targets.iter().flat_map(target::StandInTarget::runs) {
         *runs.entry(run.path).or_default() += 1;
     }
-    let answered = tally
-        .answered
-        .lock()
-        .expect("the mutex is not poisoned")
-        .clone();
+    let answered = lock(&tally.answered).clone();
     assert!(!answered.is_empty(), "seed {seed}: no request was answered");
     for (path, count) in runs
         .iter()
@@ -441,12 +572,7 @@
             "seed {seed}: {path} was answered but did not run once"
         );
     }
-    for path in tally
-        .not_run
-        .lock()
-        .expect("the mutex is not poisoned")
-        .iter()
-    {
+    for path in lock(&tally.not_run).iter() {
         assert_eq!(
             runs.get(path),
             None,
--- a/tests/all/target_signals.rs
+++ b/tests/all/target_signals.rs
@@ -27,6 +27,8 @@
 const LEAVING_TIME: Duration = Duration::from_secs(2);
 /// Rate limit that the limited target names, in requests per second.
 const LIMIT: f64 = 5.0;
+/// How a refusal for the limit names it.
+const LIMIT_TEXT: &str = "rate limit named by a target of service registru";
 const LIMITED: &str = "limited";
 const OTHER: &str = "other";
 /// Owner node of the limited target.
@@ -253,3 +255,47 @@
     // on, which it may.
     fleet.assert_avoided(&fleet.ingresses[..1]).await;
 }
+
+/// What a target signals is shown in the list of targets, the metrics, the logs and to refused callers.
+#[tokio::test(flavor = "multi_thread")]
+async fn signals_shown() {
+    let fleet = SignalFleet::start().await;
+    fleet.signal(Some(&LIMIT.to_string()), false);
+    let response = fleet.wait_until_used(fleet.ingresses[0]).await;
+    let limit = response.headers().get(headers::RATE_LIMIT);
+    assert_eq!(limit.expect("it is passed on unchanged"), "5");
+    wait::until("the limit in the list of targets", || async {
+        let list = fleet.fleet.read(OWNER, "/v1/targets").await?;
+        let targets = list["targets"].as_array()?;
+        let limited = targets.iter().find(|target| target["name"] == LIMITED)?;
+        (limited["rate_limit"] == LIMIT && limited["leaving"] == false).then_some(())
+    })
+    .await;
+    // Without the other target, what exceeds the limit is refused.
+    fleet.other.withdraw().await;
+    let refused = wait::until("a refusal for the limit", || async {
+        let response = get(fleet.ingresses[0]).await?;
+        let is_limited = response.headers().get("hazeltiller-code")? == "HZ3026";
+        let limit = response.headers().get("hazeltiller-limit");
+        let names_limit = limit.is_some_and(|limit| limit == LIMIT_TEXT);
+        let retry_after = response.headers().get("retry-after");
+        (is_limited && names_limit && retry_after.is_some()).then_some(())
+    });
+    under_load(fleet.ingresses, refused).await;
+    wait::until("the signals in the metrics", || async {
+        let request = Request::get("/metrics").body(Full::default()).ok()?;
+        let page = fleet.fleet.send_request(OWNER, "operators", request);
+        let text = String::from_utf8_lossy(page.await?.body()).into_owned();
+        let refusals = "hazeltiller_refusals_total{code=\"HZ3026\",side=\"owner\"}";
+        let limited = "hazeltiller_signalling_targets{signal=\"rate_limit\"} 1";
+        (text.contains(refusals) && text.contains(limited)).then_some(())
+    })
+    .await;
+    wait::until("the lines in the logs", || async {
+        let is_named = fleet.fleet.log(OWNER).contains("\"target_limit_named\"");
+        let decided = format!("{LIMIT_TEXT}: {LIMITED} takes 5/s");
+        let is_decided = fleet.fleet.log(INGRESSES[0]).contains(&decided);
+        (is_named && is_decided).then_some(())
+    })
+    .await;
+}
