--- a/crates/daemon/src/callers/attempt.rs
+++ b/crates/daemon/src/callers/attempt.rs
@@ -35,8 +35,7 @@
     let started_at = time::Instant::now();
     let time_left = Duration::from_millis(u64::from(plan.offer.deadline_left_ms));
     let mut response = if is_local {
-        let reporting = owner::OfferReporting::default();
-        owner::serve_local(Arc::clone(context), plan.offer.clone(), reporting, request).await
+        owner::serve_local(Arc::clone(context), plan.offer.clone(), false, request).await
     } else {
         prepare_offer(&mut request, plan);
         trace::set_clock(&context.clock, request.headers_mut());
--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -64,11 +64,8 @@
         context.engine.tell(event::Event::Signals(reported));
     }
     let clock = context.clock.clone();
-    let reporting = OfferReporting {
-        is_reported: report.is_some(),
-    };
     let request = request.map(http::stream_body);
-    let mut response = serve_local(context, offer, reporting, request).await;
+    let mut response = serve_local(context, offer, report.is_some(), request).await;
     trace::set_clock(&clock, response.headers_mut());
     response
 }
@@ -87,19 +84,13 @@
     offer
 }
 
-/// What an offer says of the signals of its target.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct OfferReporting {
-    /// Whether the offer came with a report, so that its sender learns if the report is outdated.
-    pub is_reported: bool,
-}
-
 /// Serves an offered call. The response carries the target's load, its signals or the refusal in
-/// headers.
+/// headers. `is_reported` tells whether the sender of the offer knew of signals, and is to learn if
+/// the target sends them no more.
 pub async fn serve_local(
     context: Arc<process::ProcessContext>,
     offer: wire::CallOffer,
-    reporting: OfferReporting,
+    is_reported: bool,
     mut request: Request<http::StreamBody>,
 ) -> Response<http::StreamBody> {
     let call = context.next_call_id();
@@ -127,7 +118,7 @@
     };
     match effects.recv().await {
         Some(calls::CallEffect::Run(_, mut plan)) => {
-            plan.is_signalling |= reporting.is_reported;
+            plan.is_signalling |= is_reported;
             let run = TargetRun {
                 guard,
                 plan,
--- a/crates/engine/src/calls/ingress.rs
+++ b/crates/engine/src/calls/ingress.rs
@@ -162,8 +162,8 @@
 fn limit_refusal(state: &reducer::EngineState, call: ids::CallId) -> Option<wire::CallRefusal> {
     let attributes = &state.calls.ingress.get(&call)?.attributes;
     let rank = admission::class_rank(state, &attributes.class);
-    let reopens_after = routing::reopening_time(state, &attributes.service, rank)?;
-    let retry_after_ms = u32::try_from(reopens_after.as_millis()).unwrap_or(u32::MAX);
+    let backoff_time = routing::shortest_backoff(state, &attributes.service, rank)?;
+    let retry_after_ms = u32::try_from(backoff_time.as_millis()).unwrap_or(u32::MAX);
     let limit = admission::target_rate_limit(&attributes.service);
     let refusal = wire::CallRefusal::not_run(code::ResultCode::TargetLimited);
     Some(refusal.with_limit(limit, retry_after_ms.max(1)))
@@ -353,7 +353,7 @@
     }
     if let Some(target) = target {
         update_view(state, &attributes, &target, &result, report.load);
-        close_limited(state, &attributes, &target, &result);
+        back_off_limited(state, &attributes, &target, &result);
     }
     if report.bytes > 0 {
         state.routing.sizes.record(&attributes.route, report.bytes);
@@ -489,7 +489,7 @@
 
 /// Offers a target no more calls of a class for as long as its owner node asked for, if the target is
 /// at the rate limit that it names.
-fn close_limited(
+fn back_off_limited(
     state: &mut reducer::EngineState,
     attributes: &attributes::CallAttributes,
     target: &ids::TargetName,
@@ -504,7 +504,9 @@
             return;
         };
         let (incarnation, now) = (view.incarnation(), state.now);
-        state.signals.close(target, incarnation, (rank, delay), now);
+        state
+            .signals
+            .back_off(target, incarnation, (rank, delay), now);
     }
 }
 
--- a/crates/engine/src/reducer.rs
+++ b/crates/engine/src/reducer.rs
@@ -107,7 +107,7 @@
             health::tick(state, output);
             rollout::tick(state, output);
             allowance::tick(state, output);
-            signals::tick(state);
+            signals::tick(state, output);
         }
         event::Event::Received { from, message } => {
             membership::record_contact(state, &from);
--- a/crates/engine/src/routing.rs
+++ b/crates/engine/src/routing.rs
@@ -258,25 +258,25 @@
 ) -> bool {
     let (name, incarnation) = (&target.target, target.incarnation);
     let signals = &state.signals;
-    let closed_time = signals.closed_time(name, incarnation, request.rank, state.now);
-    closed_time.is_zero() && !signals.is_leaving(name, incarnation)
+    let backoff_time = signals.backoff_time(name, incarnation, request.rank, state.now);
+    backoff_time.is_zero() && !signals.is_leaving(name, incarnation)
 }
 
 /// Returns the time until the first target of a service that is at the rate limit it names is
 /// offered calls of a class with this rank again; `None` if there is no such target.
-pub fn reopening_time(
+pub fn shortest_backoff(
     state: &reducer::EngineState,
     service: &ids::EntryName,
     rank: u32,
 ) -> Option<Duration> {
     let targets = state.routing.table.of_service(service).iter();
-    let closed_times = targets.map(|(_, target)| {
+    let backoff_times = targets.map(|(_, target)| {
         let (name, incarnation) = (&target.target, target.incarnation);
         state
             .signals
-            .closed_time(name, incarnation, rank, state.now)
+            .backoff_time(name, incarnation, rank, state.now)
     });
-    closed_times.filter(|time| !time.is_zero()).min()
+    backoff_times.filter(|time| !time.is_zero()).min()
 }
 
 /// Returns the distances that a request allows, in order of preference.
--- a/crates/engine/src/signals.rs
+++ b/crates/engine/src/signals.rs
@@ -21,17 +21,15 @@
 
 use crate::{calls, event, membership, reducer, settings, timeline};
 
-pub mod closure;
-pub mod limiter;
+mod backoff;
+mod known;
+mod limiter;
 
 /// Maximum number of targets whose signals are kept; those of the target that signalled first are
 /// dropped first.
 const MAX_TARGETS: usize = 1024;
 /// Interval at which the signals of targets that are gone are dropped.
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(10);
-/// Shortest time between two timeline events on the limit of one target, which may name another
-/// limit with each response.
-const MIN_EVENT_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Value of one signal in a response.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -98,66 +96,10 @@
     Reported(ReceivedReport),
 }
 
-/// Signals of one incarnation of a target, as known to this process.
-#[derive(Debug, Clone, Default)]
-struct KnownSignals {
-    /// The latest report, made or received by this process.
-    report: wire::SignalReport,
-    /// Whether this process has observed a response of the target.
-    is_observed: bool,
-    /// When the rate limit was last named.
-    limit_named_at: time::MonotonicTime,
-    /// Requests that may be sent to the target, if it is this node's own and names a limit.
-    limiter: Option<limiter::RequestLimiter>,
-    /// Times at which this node as an ingress node offers the target no calls.
-    closures: closure::ClosureTable,
-    /// When the signals were last used or changed.
-    touched_at: time::MonotonicTime,
-    /// When an event on the limit was last recorded.
-    event_recorded_at: Option<time::MonotonicTime>,
-    /// Whether a malformed signal has been recorded.
-    has_recorded_malformed: bool,
-}
-
-impl KnownSignals {
-    /// Changes the rate limit.
-    fn set_rate_limit(
-        &mut self,
-        rate_limit: Option<measure::RequestRate>,
-        now: time::MonotonicTime,
-    ) {
-        self.report.rate_limit = rate_limit;
-        if let (Some(rate_limit), Some(limiter)) = (rate_limit, &mut self.limiter) {
-            limiter.set_rate(rate_limit, now);
-        }
-        if rate_limit.is_none() {
-            self.limiter = None;
-            self.closures.clear();
-        }
-    }
-
-    /// Starts to hold requests to the rate limit, if the target names one.
-    fn enforce(&mut self, now: time::MonotonicTime) {
-        if let (Some(rate_limit), None) = (self.report.rate_limit, &self.limiter) {
-            self.limiter = Some(limiter::RequestLimiter::new(rate_limit, now));
-        }
-    }
-
-    /// Returns whether an event on the limit may be recorded now.
-    fn may_record_event(&mut self, now: time::MonotonicTime) -> bool {
-        let last = self.event_recorded_at;
-        let is_due = last.is_none_or(|last| now.since(last) >= MIN_EVENT_INTERVAL);
-        if is_due {
-            self.event_recorded_at = Some(now);
-        }
-        is_due
-    }
-}
-
 /// Signals of targets.
 #[derive(Debug, Clone, Default)]
 pub struct SignalState {
-    targets: IndexMap<ids::TargetName, KnownSignals>,
+    targets: IndexMap<ids::TargetName, known::KnownSignals>,
     /// Number of the last report made by this process.
     last_sequence: u64,
     cleaned_up_at: time::MonotonicTime,
@@ -197,7 +139,7 @@
 
     /// Returns the time for which this node offers an incarnation of a target no calls of a class
     /// with this rank; zero if it may be offered one.
-    pub fn closed_time(
+    pub fn backoff_time(
         &self,
         target: &ids::TargetName,
         incarnation: ids::IncarnationNumber,
@@ -206,12 +148,12 @@
     ) -> Duration {
         let known = self.targets.get(target);
         let known = known.filter(|known| known.report.incarnation >= incarnation);
-        known.map_or(Duration::ZERO, |known| known.closures.time_left(rank, now))
+        known.map_or(Duration::ZERO, |known| known.backoffs.time_left(rank, now))
     }
 
     /// Offers a target no calls of a class with this rank for a time, since its owner node refused
     /// one.
-    pub fn close(
+    pub fn back_off(
         &mut self,
         target: &ids::TargetName,
         incarnation: ids::IncarnationNumber,
@@ -219,7 +161,7 @@
         now: time::MonotonicTime,
     ) {
         if let Some(known) = self.of_incarnation(target, incarnation, now) {
-            known.closures.close(rank, delay, now);
+            known.backoffs.begin(rank, delay, now);
         }
     }
 
@@ -288,21 +230,13 @@
         target: &ids::TargetName,
         incarnation: ids::IncarnationNumber,
         now: time::MonotonicTime,
-    ) -> Option<&mut KnownSignals> {
+    ) -> Option<&mut known::KnownSignals> {
         self.forget_before(target, incarnation);
         if self.targets.len() >= MAX_TARGETS && !self.targets.contains_key(target) {
             self.targets.shift_remove_index(0);
         }
-        let known = self.targets.entry(target.clone()).or_insert_with(|| {
-            let report = wire::SignalReport {
-                incarnation,
-                ..wire::SignalReport::default()
-            };
-            KnownSignals {
-                report,
-                ..KnownSignals::default()
-            }
-        });
+        let known = self.targets.entry(target.clone());
+        let known = known.or_insert_with(|| known::KnownSignals::new(incarnation));
         known.touched_at = now;
         (known.report.incarnation == incarnation).then_some(known)
     }
@@ -329,15 +263,19 @@
     }
 }
 
-/// Drops the signals of targets that have been gone for long.
-pub fn tick(state: &mut reducer::EngineState) {
+/// Records changes that came too soon after others, and drops the signals of targets that have been
+/// gone for long.
+pub fn tick(state: &mut reducer::EngineState, output: &mut event::ReducerOutput) {
     let now = state.now;
+    for (target, known) in &mut state.signals.targets {
+        known.record_limit(target, now, output);
+    }
     if now.since(state.signals.cleaned_up_at) < CLEANUP_INTERVAL {
         return;
     }
     state.signals.cleaned_up_at = now;
     let retention = settings::millis(state.settings.tunables.membership.departed_ms);
-    let is_old = |known: &KnownSignals| now.since(known.touched_at) >= retention;
+    let is_old = |known: &known::KnownSignals| now.since(known.touched_at) >= retention;
     if !state.signals.targets.values().any(is_old) {
         return;
     }
@@ -367,12 +305,8 @@
     let sequence = state.signals.last_sequence + 1;
     state.signals.last_sequence = sequence;
     let known = state.signals.of_incarnation(&target, incarnation, now)?;
-    if signals.has_malformed() && !known.has_recorded_malformed {
-        known.has_recorded_malformed = true;
-        output.record_event(timeline::TimelineEvent::TargetSignalMalformed {
-            target: target.clone(),
-            request: request.clone(),
-        });
+    if signals.has_malformed() {
+        known.record_malformed(&target, request, output);
     }
     let before = known.report;
     let is_newer = sent_at > known.limit_named_at;
@@ -394,8 +328,11 @@
     known.is_observed |= has_run;
     known.report.observer = observer;
     known.report.sequence = sequence;
-    let source = timeline::SignalSource::Response;
-    record_change(known, before, (&target, request, source), now, output);
+    let cause = known::SignalCause {
+        request: request.clone(),
+        source: timeline::SignalSource::Response,
+    };
+    known.record_changes(&target, before, cause, now, output);
     let report = known.report;
     if report.is_leaving {
         membership::own::drain(state, &target, output);
@@ -443,44 +380,12 @@
     if is_own {
         known.enforce(now);
     }
-    let cause = (target, &received.request, received.source);
-    record_change(known, before, cause, now, output);
+    let cause = known::SignalCause {
+        request: received.request.clone(),
+        source: received.source,
+    };
+    known.record_changes(target, before, cause, now, output);
     if known.report.is_leaving && is_own {
         membership::own::drain(state, target, output);
     }
 }
-
-/// Records in the timeline how the signals of a target differ from a report before.
-fn record_change(
-    known: &mut KnownSignals,
-    before: wire::SignalReport,
-    (target, request, source): (&ids::TargetName, &ids::RequestId, timeline::SignalSource),
-    now: time::MonotonicTime,
-    output: &mut event::ReducerOutput,
-) {
-    if known.report.is_leaving && !before.is_leaving {
-        output.record_event(timeline::TimelineEvent::TargetLeaving {
-            target: target.clone(),
-            request: request.clone(),
-            source,
-        });
-    }
-    let rate_limit = known.report.rate_limit;
-    if rate_limit == before.rate_limit || !known.may_record_event(now) {
-        return;
-    }
-    let (target, request) = (target.clone(), request.clone());
-    output.record_event(match rate_limit {
-        Some(limit) => timeline::TimelineEvent::TargetLimitNamed {
-            target,
-            limit: limit.to_string(),
-            request,
-            source,
-        },
-        None => timeline::TimelineEvent::TargetLimitEnded {
-            target,
-            request,
-            source,
-        },
-    });
-}
--- a/crates/engine/tests/signals.rs
+++ b/crates/engine/tests/signals.rs
@@ -217,6 +217,13 @@
     }
     assert_eq!(owner.rate_limit(), Some(1099.0));
     assert!(recorded.len() <= 11, "{} events in 10 s", recorded.len());
+    owner.node.now = owner.node.now + Duration::from_secs(1);
+    let effects = owner.node.reduce(event::Event::Tick);
+    let is_last = |effect: &event::Effect| {
+        matches!(effect, event::Effect::RecordEvent(
+            timeline::TimelineEvent::TargetLimitNamed { limit, .. }) if limit == "1099")
+    };
+    assert!(effects.iter().any(is_last), "the last limit is recorded");
 }
 
 #[test]
