Signals: calls that a rate limit holds back do not throttle their route

A call that is refused because its targets are at their limits was counted by the throttle of its route as one without capacity, so the route's calls were refused with HZ3023 at random also once a target could be offered one. Such refusals cost no offer, and the backoffs bound the offers already. engine::signals::limited_part_refused found it: a part of a split route at its limit answered HZ3023 in place of HZ3026.

--- a/crates/engine/src/calls/ingress.rs
+++ b/crates/engine/src/calls/ingress.rs
@@ -149,11 +149,12 @@
     if attempt(state, call, false, output) {
         return;
     }
-    let Some(refusal) = limit_refusal(state, call) else {
+    let Some(mut refusal) = limit_refusal(state, call) else {
         let refusal = wire::CallRefusal::not_run(code::ResultCode::TargetMissing);
         return refuse_no_target(state, call, refusal, output);
     };
-    refuse_no_capacity(state, call, refusal, output);
+    refusal.retry_after_ms = add_jitter(state, refusal.retry_after_ms);
+    refuse(state, call, refusal, output);
 }
 
 /// Returns the refusal of a call to a service whose targets are at the rate limits that they name;
@@ -169,26 +170,6 @@
     Some(refusal.with_limit(limit, retry_after_ms.max(1)))
 }
 
-/// Refuses a call for which no target has capacity, and counts it in the throttle of its route.
-fn refuse_no_capacity(
-    state: &mut reducer::EngineState,
-    call: ids::CallId,
-    refusal: wire::CallRefusal,
-    output: &mut event::ReducerOutput,
-) {
-    if let Some(record) = state.calls.ingress.get(&call) {
-        let (service, route) = (&record.attributes.service, &record.attributes.route);
-        let throttles = &mut state.calls.throttles;
-        throttles.record_no_capacity(service, route, &refusal);
-    }
-    let retry_after_ms = add_jitter(state, refusal.retry_after_ms);
-    let refusal = wire::CallRefusal {
-        retry_after_ms,
-        ..refusal
-    };
-    refuse(state, call, refusal, output);
-}
-
 /// Decides at random, by the share to refuse, whether a call is refused without an offer because
 /// targets lacked capacity for most of the recent ones.
 fn draw_throttled(state: &mut reducer::EngineState, call: ids::CallId) -> bool {
@@ -375,9 +356,9 @@
         return refuse_no_target(state, call, refusal, output);
     }
     let is_rate_refusal = refusal.code == code::ResultCode::RateExceeded;
-    let is_limit_refusal = refusal.code == code::ResultCode::TargetLimited;
-    if is_limit_refusal || proof == retry::FailureProof::NotAdmitted && !is_rate_refusal {
-        return refuse_no_capacity(state, call, refusal, output);
+    if proof == retry::FailureProof::NotAdmitted && !is_rate_refusal {
+        let throttles = &mut state.calls.throttles;
+        throttles.record_no_capacity(&attributes.service, &attributes.route, &refusal);
     }
     refusal.retry_after_ms = add_jitter(state, refusal.retry_after_ms);
     refuse(state, call, refusal, output);
--- a/crates/engine/tests/signal_faults.rs
+++ b/crates/engine/tests/signal_faults.rs
@@ -13,6 +13,10 @@
 
 const DEFAULT_SEED_COUNT: u64 = 12;
 const INGRESSES: usize = 6;
+/// One-way latency between nodes.
+const LINK: Duration = Duration::from_millis(1);
+/// Time that a call may wait in a queue, as the classes allow.
+const MAX_QUEUE_TIME: Duration = Duration::from_millis(500);
 /// Time after the first naming of a limit from which it must be kept.
 const SETTLING_TIME: Duration = Duration::from_secs(3);
 /// Length of the sliding windows.
@@ -39,12 +43,17 @@
     json!([
         {"kind": "class", "name": "counter", "owner": "registru", "class": "counter", "rank": 1,
          "limits": {"queue_ms": 500}},
+        {"kind": "class", "name": "batch", "owner": "registru", "class": "counter", "rank": 5,
+         "limits": {"queue_ms": 500}},
         {"kind": "owner", "name": "registru", "owner": "registru", "class": "counter"},
         {"kind": "service", "name": "registru", "owner": "registru", "class": "counter",
          "limits": {"queue": 8}},
         {"kind": "route", "name": "lookup", "owner": "registru", "class": "counter",
          "service": "registru", "match": {"path_prefix": "/"}, "idempotent": true,
          "limits": {"deadline_ms": 2000}, "target_latency_ms": 500},
+        {"kind": "route", "name": "night", "owner": "registru", "class": "batch",
+         "service": "registru", "match": {"path_prefix": "/night"}, "idempotent": true,
+         "limits": {"deadline_ms": 2000}, "target_latency_ms": 500},
     ])
 }
 
@@ -65,7 +74,7 @@
         ingresses: INGRESSES,
         targets: vec![target(); targets],
         entries: entries(),
-        link: Duration::from_millis(1),
+        link: LINK,
         policy: model::BalancingPolicy::Reducer,
     })
 }
@@ -288,3 +297,34 @@
         );
     }
 }
+
+/// All targets of a service name limits, together 15 a second, and callers ask for 60: the better
+/// class is served, the rest of the limits is used, and the excess is refused soon.
+#[test]
+fn limited_service_shared() {
+    for seed in seeds() {
+        let mut model = new_model(seed, 3);
+        for target in 0..3 {
+            let signals = model::TargetFault::Signals(naming(Some(5.0)));
+            model.schedule_fault(Duration::ZERO, target, signals);
+        }
+        let kinds = [
+            model::CallKind::plain("/", 8.0),
+            model::CallKind::plain("/night", 52.0),
+        ];
+        let phases = vec![(kinds.to_vec(), 2 * WINDOW), (kinds.to_vec(), SPAN)];
+        let stats = &model.run_phases(phases)[1];
+        let [better, lesser] = [&stats[0], &stats[1]];
+        let share = better.good as f64 / better.sent as f64;
+        assert!(share > 0.9, "seed {seed}: {share} of the better class");
+        let total = (better.good + lesser.good) as f64;
+        let limit = 15.0 * SPAN.as_secs_f64();
+        assert!(
+            total > 0.9 * limit,
+            "seed {seed}: {total} of {limit} served"
+        );
+        let refusal_time = |quantile| Duration::from_micros(lesser.refusal_quantile(quantile));
+        assert!(refusal_time(0.5) < LINK * 10, "seed {seed}: refused late");
+        assert!(refusal_time(0.99) <= MAX_QUEUE_TIME, "seed {seed}: kept");
+    }
+}
--- a/crates/engine/tests/signals.rs
+++ b/crates/engine/tests/signals.rs
@@ -516,3 +516,35 @@
     };
     receive(ended, None);
 }
+
+/// A part of a split route that is at its limit keeps its share; what does not fit is refused there.
+#[test]
+fn limited_part_refused() {
+    let mut ingress = IngressNode::new(&[TARGET]);
+    let identity = node::identity("node-of-archive", "brasov-a", "ro-centru");
+    let archive = node::target("archive-1", "archive", 10);
+    ingress.node.receive_record(&identity, 1, vec![archive]);
+    ingress.node.apply_entries(&json!([
+        {"kind": "service", "name": "archive", "owner": "registru", "class": "counter"},
+        {"kind": "route", "name": "split", "owner": "registru", "class": "counter",
+         "service": "registru", "match": {"path_prefix": "/split"}, "limits": {"tries": 1},
+         "split": [{"service": "registru", "weight": 1}, {"service": "archive", "weight": 1}]},
+    ]));
+    let (call, effect) = ingress.arrive("/");
+    assert_eq!(attempted(&effect), TARGET);
+    ingress.refuse(call, 4000);
+    let (mut refused, mut placed) = (0, 0);
+    for _ in 0..100 {
+        match ingress.arrive("/split").1 {
+            calls::CallEffect::Refuse(_, refusal) => {
+                assert_eq!(refusal.code, code::ResultCode::TargetLimited);
+                refused += 1;
+            }
+            effect => {
+                assert_eq!(attempted(&effect), "archive-1");
+                placed += 1;
+            }
+        }
+    }
+    assert_eq!((refused, placed), (50, 50));
+}
