--- a/crates/engine/src/signals.rs
+++ b/crates/engine/src/signals.rs
@@ -309,22 +309,12 @@
         known.record_malformed(&target, request, output);
     }
     let before = known.report;
-    let is_newer = sent_at > known.limit_named_at;
     match signals.rate_limit {
-        SignalValue::Present(limit) => {
-            if is_newer || before.rate_limit.is_none_or(|before| limit < before) {
-                known.set_rate_limit(Some(limit), now);
-            }
-            known.limit_named_at = now;
-        }
-        SignalValue::Absent if has_run && is_newer => known.set_rate_limit(None, now),
+        SignalValue::Present(limit) => known.name_limit(limit, sent_at, now),
+        SignalValue::Absent if has_run => known.end_limit(sent_at, now),
         SignalValue::Absent | SignalValue::Malformed => {}
     }
     known.report.is_leaving |= signals.leaving == SignalValue::Present(());
-    known.enforce(now);
-    if let (SignalValue::Present(_), Some(limiter)) = (signals.rate_limit, &mut known.limiter) {
-        limiter.confirm(now);
-    }
     known.is_observed |= has_run;
     known.report.observer = observer;
     known.report.sequence = sequence;
@@ -357,24 +347,8 @@
         return;
     };
     let before = known.report;
-    let version = |report: wire::SignalReport| (report.observer, report.sequence);
-    let is_newer = match received.source {
-        // An ingress node knows nothing that a response of the target has not told this process.
-        timeline::SignalSource::IngressNode => {
-            !known.is_observed && version(received.report) > version(before)
-        }
-        // The clock of the owner node may have been set back before it restarted, so the latest
-        // observer need not have the highest number.
-        timeline::SignalSource::OwnerNode | timeline::SignalSource::Response => {
-            received.report.observer != before.observer
-                || received.report.sequence > before.sequence
-        }
-    };
-    if is_newer {
-        known.is_observed = false;
-        known.set_rate_limit(received.report.rate_limit, now);
-        known.report = received.report;
-        known.limit_named_at = now;
+    if known.is_outdated_by(received) {
+        known.adopt(received.report, now);
     }
     known.report.is_leaving = before.is_leaving || received.report.is_leaving;
     if is_own {
--- a/crates/engine/src/signals/known.rs
+++ b/crates/engine/src/signals/known.rs
@@ -6,7 +6,7 @@
 use hazeltiller_wire::signals as wire;
 
 use super::{backoff, limiter};
-use crate::{event, timeline};
+use crate::{event, signals, timeline};
 
 /// Shortest time between two timeline events on the limit of one target, which may name another
 /// limit with each response.
@@ -29,7 +29,7 @@
     /// Whether this process has observed a response of the target.
     pub(super) is_observed: bool,
     /// When the rate limit was last named.
-    pub(super) limit_named_at: time::MonotonicTime,
+    limit_named_at: time::MonotonicTime,
     /// Holds requests to the limit, if the target is this node's own and names one.
     pub(super) limiter: Option<limiter::RequestLimiter>,
     /// Times for which this node as an ingress node offers the target no calls.
@@ -59,8 +59,58 @@
         }
     }
 
-    /// Changes the rate limit.
-    pub(super) fn set_rate_limit(
+    /// Takes over the limit that the response to a run names, which was sent at `sent_at`, and holds
+    /// requests to it.
+    pub(super) fn name_limit(
+        &mut self,
+        limit: measure::RequestRate,
+        sent_at: time::MonotonicTime,
+        now: time::MonotonicTime,
+    ) {
+        let is_lower = self.report.rate_limit.is_none_or(|known| limit < known);
+        if is_lower || sent_at > self.limit_named_at {
+            self.set_rate_limit(Some(limit), now);
+        }
+        self.limit_named_at = now;
+        self.enforce(now);
+        if let Some(limiter) = &mut self.limiter {
+            limiter.confirm(now);
+        }
+    }
+
+    /// Ends the limit, since the response to a run that was sent at `sent_at` names none.
+    pub(super) fn end_limit(&mut self, sent_at: time::MonotonicTime, now: time::MonotonicTime) {
+        if sent_at > self.limit_named_at {
+            self.set_rate_limit(None, now);
+        }
+    }
+
+    /// Returns whether the report of another node is newer than what is known here.
+    pub(super) fn is_outdated_by(&self, received: &signals::ReceivedReport) -> bool {
+        let (known, report) = (&self.report, &received.report);
+        match received.source {
+            // An ingress node knows nothing that a response of the target has not told this process.
+            timeline::SignalSource::IngressNode => {
+                let version = |report: &wire::SignalReport| (report.observer, report.sequence);
+                !self.is_observed && version(report) > version(known)
+            }
+            // The clock of the owner node may have been set back before it restarted, so the latest
+            // observer need not have the highest number.
+            timeline::SignalSource::OwnerNode | timeline::SignalSource::Response => {
+                report.observer != known.observer || report.sequence > known.sequence
+            }
+        }
+    }
+
+    /// Takes over the report of another node.
+    pub(super) fn adopt(&mut self, report: wire::SignalReport, now: time::MonotonicTime) {
+        self.set_rate_limit(report.rate_limit, now);
+        self.report = report;
+        self.is_observed = false;
+        self.limit_named_at = now;
+    }
+
+    fn set_rate_limit(
         &mut self,
         rate_limit: Option<measure::RequestRate>,
         now: time::MonotonicTime,
--- a/crates/engine/src/signals/limiter.rs
+++ b/crates/engine/src/signals/limiter.rs
@@ -7,7 +7,7 @@
 //! it one token.
 //!
 //! A limit that no response has confirmed lately may have been lowered meanwhile, for instance while
-//! this process was paused. Requests then go out one at a time until a response tells.
+//! this process was paused. Then at most one request a second goes out until a response names it.
 
 use std::time::Duration;
 
@@ -132,8 +132,8 @@
         }
     }
 
-    /// Returns the largest number of tokens. Below two, requests of a target that names less than
-    /// one a second would come in pairs.
+    /// Returns the largest number of tokens: two and a burst, or fewer for a target that names less
+    /// than one request a second.
     fn capacity(&self) -> f64 {
         1.0 + self.rate.min(1.0) + self.rate * BURST_TIME.as_secs_f64()
     }
