--- a/tests/all/target_signals.rs
+++ b/tests/all/target_signals.rs
@@ -234,6 +234,11 @@
             fleet.restart_owner().await;
             tokio::time::sleep(WINDOW / 4).await;
         }
+        let arrivals = fleet.limited.log().arrivals().len();
+        wait::until("a request at the limited target", || async {
+            (fleet.limited.log().arrivals().len() > arrivals).then_some(())
+        })
+        .await;
     };
     under_load(ingresses, restarts).await;
     fleet.assert_limit_kept(named_at);
