--- a/tests/all/soak.rs
+++ b/tests/all/soak.rs
@@ -27,6 +27,8 @@
 
 use crate::support;
 
+mod signals;
+
 const CONTROLS: [&str; 3] = ["control-1", "control-2", "control-3"];
 const NODES: [&str; 3] = ["node-1", "node-2", "node-3"];
 const CALLER_COUNT: usize = 6;
@@ -43,15 +45,6 @@
     (225, 24),
 ];
 
-/// Rate limits that targets name, as header values; the last one is malformed and means nothing.
-const RATE_LIMITS: [&str; 5] = ["0", "0.5", "3", "12.5", "many"];
-/// Time after the naming of a limit from which it must be kept.
-const SETTLING_TIME: Duration = Duration::from_secs(3);
-/// Length of the sliding windows in which arrivals at a limited target are counted.
-const WINDOW: Duration = Duration::from_secs(4);
-/// Time after which a node that passed a leaving notice on sends the target nothing.
-const LEAVING_TIME: Duration = Duration::from_secs(2);
-
 /// Paths of the requests by the outcome reported to the callers, and what else the callers saw.
 #[derive(Debug, Default)]
 struct CallerTally {
@@ -63,15 +56,6 @@
     leaving: Mutex<IndexMap<(SocketAddr, String), Instant>>,
 }
 
-/// A rate limit that a target names for a time.
-struct NamedLimit {
-    target: target::StandInTarget,
-    limit: f64,
-    named_at: Instant,
-    /// When the target stopped naming it.
-    ended_at: Option<Instant>,
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().expect("the mutex is not poisoned")
 }
@@ -88,7 +72,7 @@
     target_count: usize,
     /// Catalogue version created by the last acknowledged rollout order; 0 if there is none.
     ordered_version: u64,
-    limits: Vec<NamedLimit>,
+    limits: Vec<signals::NamedLimit>,
 }
 
 /// Sends requests one at a time, each to a unique path, until the list of nodes is empty.
@@ -294,99 +278,6 @@
         }
     }
 
-    /// Makes a target name another rate limit, which it does until it names the next one.
-    async fn name_limit(&mut self) {
-        let target = self.targets[self.random.random_range(0..self.targets.len())].clone();
-        let text = RATE_LIMITS[self.random.random_range(0..RATE_LIMITS.len())];
-        target.set_behaviour(behaviour::StandInBehaviour {
-            rate_limit: Some(text.into()),
-            ..target.behaviour()
-        });
-        let now = Instant::now();
-        self.end_limits(|named| named.address == target.address);
-        if let Ok(limit) = text.parse() {
-            self.limits.push(NamedLimit {
-                target,
-                limit,
-                named_at: now,
-                ended_at: None,
-            });
-        }
-        time::sleep(self.random_pause()).await;
-    }
-
-    /// Ends the limits of some targets.
-    fn end_limits(&mut self, ends: impl Fn(&target::StandInTarget) -> bool) {
-        let current = self.limits.iter_mut();
-        for named in current.filter(|named| named.ended_at.is_none() && ends(&named.target)) {
-            named.ended_at = Some(Instant::now());
-        }
-    }
-
-    /// Makes a target say in its responses that it leaves while it still announces itself as ready,
-    /// and adds another one.
-    async fn leave(&mut self) {
-        let index = self.random.random_range(0..self.targets.len());
-        let target = &self.targets[index];
-        target.set_behaviour(behaviour::StandInBehaviour {
-            is_leaving: true,
-            ..target.behaviour()
-        });
-        let node = self.pick(&NODES);
-        self.add_target(node).await;
-        time::sleep(self.random_pause()).await;
-    }
-
-    /// Makes the targets name no limits any more.
-    fn end_all_limits(&mut self) {
-        for target in &self.targets {
-            target.set_behaviour(behaviour::StandInBehaviour {
-                rate_limit: None,
-                ..target.behaviour()
-            });
-        }
-        self.end_limits(|_| true);
-    }
-
-    /// Checks that limited targets got no more than they named.
-    fn check_limits(&self, seed: u64) {
-        for named in &self.limits {
-            let arrivals: Vec<Instant> =
-                named.target.log().arrivals().iter().map(|a| a.at).collect();
-            let ended_at = named.ended_at.unwrap_or_else(Instant::now);
-            let kept = |at: &&Instant| **at >= named.named_at + SETTLING_TIME && **at < ended_at;
-            let allowed = 1.5 * WINDOW.as_secs_f64() * named.limit + 5.0;
-            for start in arrivals.iter().filter(kept) {
-                let in_window = |at: &&Instant| *at >= start && **at < *start + WINDOW;
-                let count = arrivals.iter().filter(kept).filter(in_window).count();
-                assert!(
-                    count as f64 <= allowed,
-                    "seed {seed}: {} got {count} requests in 4 s, allowed {allowed}",
-                    named.target.settings().name
-                );
-            }
-        }
-    }
-
-    /// Checks that leaving targets got nothing from nodes that had passed their notice on.
-    fn check_leaving(&self, tally: &CallerTally, seed: u64) {
-        let (sent, leaving) = (lock(&tally.sent), lock(&tally.leaving));
-        for target in &self.targets {
-            let name = target.settings().name.as_str();
-            for arrival in target.log().arrivals() {
-                let Some((node, sent_at)) = sent.get(&arrival.path).copied() else {
-                    continue;
-                };
-                let told = leaving.get(&(node, name.to_owned()));
-                assert!(
-                    told.is_none_or(|told| sent_at <= *told + LEAVING_TIME),
-                    "seed {seed}: {} reached {name} from {node}",
-                    arrival.path
-                );
-            }
-        }
-    }
-
     async fn restart_node(&mut self, is_graceful: bool) {
         let node = self.pick(&NODES);
         let old_address = self.fleet.instance(node).addresses["target"];
