Calls: a precedence among the waiting calls of a class

Calls that a run makes and callers that return at a named time are to go before new calls of equal rank. The offer carries a precedence, in a header of its own that older builds ignore, and the queue orders an owner's calls by it first, then by start deadline. Every call is still a new one, so nothing is served otherwise. Tests of engine and wire pass.

--- a/crates/daemon/src/callers/attempt.rs
+++ b/crates/daemon/src/callers/attempt.rs
@@ -129,6 +129,10 @@
     let headers = request.headers_mut();
     headers.insert(wire::OFFER_TERMS_HEADER, http::header_value(&terms));
     headers.insert(wire::OFFER_HEADER, http::unindexed_value(&sent));
+    if plan.offer.precedence != wire::CallPrecedence::default() {
+        let value = http::header_value(&plan.offer.precedence);
+        headers.insert(wire::PRECEDENCE_HEADER, value);
+    }
     if let Some(report) = &plan.signals {
         let value = http::header_value(report);
         headers.insert(wire_signals::SIGNALS_HEADER, value);
--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -45,9 +45,11 @@
     let headers = request.headers_mut();
     let terms = http::take_record(headers, wire::OFFER_TERMS_HEADER);
     let sent = http::take_record(headers, wire::OFFER_HEADER);
-    let offer = terms
-        .zip(sent)
-        .map(|(terms, sent)| receive_offer(transit, terms, sent));
+    let precedence = http::take_record(headers, wire::PRECEDENCE_HEADER);
+    let offer = terms.zip(sent).map(|(terms, sent)| wire::CallOffer {
+        precedence: precedence.unwrap_or_default(),
+        ..receive_offer(transit, terms, sent)
+    });
     trace::merge_clock(&context.clock, request.headers_mut());
     let report = http::take_record(request.headers_mut(), wire_signals::SIGNALS_HEADER);
     let Some(offer) = offer else {
--- a/crates/engine/src/admission.rs
+++ b/crates/engine/src/admission.rs
@@ -68,11 +68,10 @@
         &self,
         params: &queue::SchedulingParams,
         offer: &wire::CallOffer,
-        start_deadline: time::MonotonicTime,
+        place: queue::QueuePlace,
         available: AvailableSlots,
     ) -> Duration {
-        let ahead_s =
-            self.queue.work_ahead_s(params, start_deadline) / f64::from(available.of_class);
+        let ahead_s = self.queue.work_ahead_s(params, place) / f64::from(available.of_class);
         let next_slot = self
             .estimate
             .time_for(f64::from(offer.cost), available.of_target);
@@ -370,8 +369,11 @@
         max_class_wait
     };
     let useful_wait = useful_time.saturating_sub(run_time);
-    let start_deadline = now + wait_limit.min(useful_wait);
-    let slot_wait = admission.queue_wait(&params, offer, start_deadline, available);
+    let place = queue::QueuePlace {
+        precedence: offer.precedence,
+        start_deadline: now + wait_limit.min(useful_wait),
+    };
+    let slot_wait = admission.queue_wait(&params, offer, place, available);
     let wait = slot_wait.max(limit_wait);
     let left = Duration::from_millis(u64::from(offer.deadline_left_ms));
     let release_interval = admission.estimate.time_for(1.0, slots);
@@ -417,7 +419,7 @@
         cost: offer.cost,
         expected_run_time: run_time,
         queued_at: now,
-        start_deadline,
+        place,
     };
     enqueue(state, offer, &params, queued)
 }
--- a/crates/engine/src/admission/queue.rs
+++ b/crates/engine/src/admission/queue.rs
@@ -5,12 +5,13 @@
 //! guaranteed share of the work that starts while its calls wait. Within a class, owners share by
 //! weight: each owner has a virtual time that advances by cost divided by weight as its calls
 //! start, and the owner with the smallest virtual time is served next. The calls of one owner start
-//! in order of their start deadlines. A full queue drops the last call of the owner that exceeds
+//! in order of their precedence, and with equal precedence in order of their start deadlines. A full queue drops the last call of the owner that exceeds
 //! its share the most.
 
 use std::{collections::VecDeque, time::Duration};
 
 use hazeltiller_units::{ids, time};
+use hazeltiller_wire::calls as wire;
 use indexmap::IndexMap;
 
 /// Maximum unused guaranteed work that a class can accumulate, in cost units.
@@ -42,11 +43,27 @@
     pub expected_run_time: Duration,
     /// When the call was queued.
     pub queued_at: time::MonotonicTime,
+    /// Position among the calls of its owner.
+    pub place: QueuePlace,
+}
+
+impl QueuedCall {
+    /// Returns the time at which the call expires unless it has started.
+    pub fn start_deadline(&self) -> time::MonotonicTime {
+        self.place.start_deadline
+    }
+}
+
+/// Position of a call among the queued calls of its owner; the lowest starts first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct QueuePlace {
+    /// Precedence of the call.
+    pub precedence: wire::CallPrecedence,
     /// Time at which the call expires unless it has started.
     pub start_deadline: time::MonotonicTime,
 }
 
-/// Queued calls of one owner in one class, in order of start deadline.
+/// Queued calls of one owner in one class, in order of their places.
 #[derive(Debug, Clone, Default)]
 struct OwnerQueue {
     weight: f64,
@@ -70,13 +87,13 @@
             .sum()
     }
 
-    /// Returns the expected run time of the calls that start before one with this start deadline,
-    /// in slot-seconds.
-    fn work_before_s(&self, start_deadline: time::MonotonicTime) -> f64 {
+    /// Returns the expected run time of the calls that start before one with this place, in
+    /// slot-seconds.
+    fn work_before_s(&self, place: QueuePlace) -> f64 {
         let before = self
             .queued_calls
             .iter()
-            .take_while(|call| call.start_deadline <= start_deadline);
+            .take_while(|call| call.place <= place);
         before
             .map(|call| call.expected_run_time.as_secs_f64())
             .sum()
@@ -195,9 +212,8 @@
     /// Adds a call to the queue.
     pub fn push(&mut self, params: &SchedulingParams, call: QueuedCall) {
         let queued_calls = &mut self.class_mut(params).owner_mut(params).queued_calls;
-        let place =
-            queued_calls.partition_point(|other| other.start_deadline <= call.start_deadline);
-        queued_calls.insert(place, call);
+        let index = queued_calls.partition_point(|other| other.place <= call.place);
+        queued_calls.insert(index, call);
     }
 
     /// Charges a call that starts without waiting to its owner's virtual time.
@@ -258,9 +274,11 @@
                 owner
                     .queued_calls
                     .iter()
-                    .filter(|call| call.start_deadline <= now),
+                    .filter(|call| call.start_deadline() <= now),
             );
-            owner.queued_calls.retain(|call| call.start_deadline > now);
+            owner
+                .queued_calls
+                .retain(|call| call.start_deadline() > now);
         }
         expired
     }
@@ -301,17 +319,13 @@
     }
 
     /// Returns the expected run time of the queued calls that would start before a call that
-    /// arrives now with this start deadline, in slot-seconds.
-    pub fn work_ahead_s(
-        &self,
-        params: &SchedulingParams,
-        start_deadline: time::MonotonicTime,
-    ) -> f64 {
+    /// arrives now and would take this place, in slot-seconds.
+    pub fn work_ahead_s(&self, params: &SchedulingParams, place: QueuePlace) -> f64 {
         let Some(own_class) = self.classes.get(&params.class) else {
             return self.higher_priority_work_s(params.rank);
         };
         let own_queue = own_class.owners.get(&params.owner);
-        let own_work_s = own_queue.map_or(0.0, |owner| owner.work_before_s(start_deadline));
+        let own_work_s = own_queue.map_or(0.0, |owner| owner.work_before_s(place));
         let weight = f64::from(params.weight.max(1));
         let other_work_s: f64 = own_class
             .owners
--- a/crates/engine/src/calls/attributes.rs
+++ b/crates/engine/src/calls/attributes.rs
@@ -34,6 +34,8 @@
     pub fingerprint: Option<ledger::RequestDigest>,
     /// Service of the target that sent the request, if a target sent it.
     pub caller: Option<ids::EntryName>,
+    /// Precedence among the calls of the class.
+    pub precedence: wire::CallPrecedence,
 }
 
 /// Number and time limits of a single attempt of a call.
@@ -75,6 +77,7 @@
             key: arrival.key.clone(),
             fingerprint: arrival.fingerprint,
             caller: arrival.caller.clone(),
+            precedence: wire::CallPrecedence::default(),
         }
     }
 
@@ -103,6 +106,7 @@
             latency_left_ms: millis(times.latency_left),
             patience_ms: times.max_queue_wait.map_or(u32::MAX, millis),
             caller: self.caller.clone(),
+            precedence: self.precedence,
         }
     }
 }
--- a/crates/testkit/src/node.rs
+++ b/crates/testkit/src/node.rs
@@ -158,6 +158,7 @@
         latency_left_ms: 5000,
         patience_ms: 5000,
         caller: None,
+        precedence: wire::CallPrecedence::default(),
     }
 }
 
--- a/crates/wire/src/calls.rs
+++ b/crates/wire/src/calls.rs
@@ -44,6 +44,9 @@
 pub const REQUEST_HEADER: &str = "hazeltiller-request";
 /// Header with the sender's hybrid logical time; used between nodes only.
 pub const CLOCK_HEADER: &str = "hz-c";
+/// Header with the [`CallPrecedence`] of an offer, if it is not that of a new call; used between
+/// nodes only.
+pub const PRECEDENCE_HEADER: &str = "hz-p";
 /// Header with the name of the organisation that a call belongs to; used between nodes only.
 pub const CALL_ORGANISATION_HEADER: &str = "hz-g";
 /// Header with the name of the organisation that a request belongs to, for its target.
@@ -225,6 +228,24 @@
     pub patience_ms: u32,
     /// Service of the target that sent the request, if it came from a target.
     pub caller: Option<ids::EntryName>,
+    /// Precedence among the calls of the class.
+    #[serde(default)]
+    pub precedence: CallPrecedence,
+}
+
+/// Precedence of a call among the waiting calls of its class and owner, from the first served to
+/// the last.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub enum CallPrecedence {
+    /// Made by a run that holds a slot of another target until the call ends.
+    Nested,
+    /// Sent again at the time that a refusal named.
+    Returning,
+    /// Any other call.
+    #[default]
+    New,
 }
 
 /// The part of an offer that is the same for all calls of a route.
@@ -293,7 +314,8 @@
         self.latency_left_ms = self.latency_left_ms.saturating_sub(millis);
     }
 
-    /// Reassembles an offer from its two parts.
+    /// Reassembles an offer from its two parts. Its precedence, which has a header of its own, is
+    /// that of a new call.
     pub fn join(terms: OfferTerms, attempt: OfferAttempt) -> Self {
         Self {
             target: attempt.target,
@@ -311,6 +333,7 @@
             latency_left_ms: attempt.latency_left_ms,
             patience_ms: attempt.patience_ms,
             caller: terms.caller,
+            precedence: CallPrecedence::default(),
         }
     }
 }
