--- a/crates/engine/src/calls/ingress.rs
+++ b/crates/engine/src/calls/ingress.rs
@@ -268,6 +268,7 @@
     if let Some(view) = state.routing.views.get_mut(&candidate.target) {
         view.outstanding += 1;
     }
+    let may_place_again = may_place_again(state, call);
     let record = state.calls.ingress.get_mut(&call);
     let record = record.expect("it was found above");
     let earlier_attempts = record.attempted_targets.len() as u32;
@@ -276,7 +277,7 @@
     record.attempted_at = now;
     record.attempted_targets.push(candidate.target.clone());
     record.target = Some(candidate.target.clone());
-    let has_free_placements_left = record.free_placements < max_free_placements;
+    let has_free_placements_left = record.free_placements < max_free_placements && may_place_again;
     let times = attributes::AttemptTimes {
         attempt: record.arrived_attempt + earlier_attempts,
         deadline_left: record.deadline.since(now),
@@ -303,6 +304,22 @@
     true
 }
 
+/// Returns whether the placement budget would pay for another offer of a call. If it would not, a
+/// call that its target turns away for its queue wait is refused, although it might have been served
+/// there in time.
+fn may_place_again(state: &mut reducer::EngineState, call: ids::CallId) -> bool {
+    let tunables = &state.settings.tunables.retry;
+    if tunables.funded_patience == 0 {
+        return true;
+    }
+    let Some(record) = state.calls.ingress.get(&call) else {
+        return false;
+    };
+    let policy = retry::BudgetPolicy::for_placements(tunables);
+    let budget = state.retry.placement_budget(&record.attributes, state.now);
+    budget.available(&policy, state.now) >= 1.0
+}
+
 /// Returns the time left of the target latency, or zero if not even the fastest of the compared
 /// targets can respond within it.
 fn attainable_latency(left: Duration, shortest_run_time: Option<Duration>) -> Duration {
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -265,6 +265,10 @@
         /// Burst size of an owner's rate limit, as the time in which the rate yields it, in
         /// milliseconds.
         burst_ms = 1000, 1..=60_000;
+        /// Whether calls of every class are held to the target latency of their route while the
+        /// queue of their target has not been empty for a while; with 0 only calls of the
+        /// lowest-priority class are, and others wait until their deadline.
+        latency_for_all = 0, 0..=1;
     }
 
     /// Tunables of the allowances of organisations.
@@ -305,6 +309,9 @@
         /// Further offers of a service and class that a node may make at once, before any attempt
         /// has added to their budget.
         placement_reserve = 10, 0..=1000;
+        /// Whether an offer names a maximum queue wait only if the budget would pay for another
+        /// offer; with 0 it does as long as the call may be offered again at all.
+        funded_patience = 0, 0..=1;
         /// Maximum number of further offers of a call after nodes that could not be reached, or
         /// that reported that they or their target are leaving, so that the stop of two neighbours
         /// causes no refusal.
