--- a/crates/engine/src/admission/latency.rs
+++ b/crates/engine/src/admission/latency.rs
@@ -9,9 +9,9 @@
 //! of a call that already holds a slot, so refusing it saves nothing: it is kept until its
 //! deadline.
 //!
-//! A class may also exceed the capacity by itself, and then displaces nothing but its own calls. If
-//! the settings say so, calls of all classes are held to their target latency while the queue
-//! stands. Calls that a run makes are never held: if one is refused, the run was for nothing.
+//! A class of higher priority may also exceed the capacity by itself, and then displaces nothing but
+//! its own calls. If the settings say so, calls of all classes are held to their target latency.
+//! Calls that a run makes are never held: if one is refused, the run was for nothing.
 //!
 //! A call of the lowest-priority class may arrive after its target latency has passed or when it is
 //! out of reach, because its caller was refused elsewhere or every target is slow. Its response
@@ -42,17 +42,13 @@
 }
 
 /// Returns whether a call is held to its route's target latency: its class, or that of its route, is
-/// the lowest-priority one, or the queue of its target stands and calls of all classes are held. The
-/// class of an organisation orders its calls before those of others, but tells nothing of whether a
-/// late response is of use.
+/// the lowest-priority one, or calls of all classes are held. The class of an organisation orders its
+/// calls before those of others, but tells nothing of whether a late response is of use.
 pub(super) fn is_held_to_latency(state: &reducer::EngineState, offer: &wire::CallOffer) -> bool {
     if offer.precedence == wire::CallPrecedence::Nested {
         return false;
     }
-    let admission = state.admission.targets.get(&offer.target);
-    let is_standing = admission.is_some_and(|admission| admission.standing.is_standing(state.now));
-    let holds_all = state.settings.tunables.admission.latency_for_all > 0;
-    if holds_all && is_standing {
+    if state.settings.tunables.admission.latency_for_all > 0 {
         return true;
     }
     let catalogue = &state.dissemination.in_force;
--- a/crates/engine/src/admission/standing.rs
+++ b/crates/engine/src/admission/standing.rs
@@ -37,12 +37,6 @@
         }
     }
 
-    /// Returns whether the queue has not been empty for a while.
-    pub fn is_standing(self, now: time::MonotonicTime) -> bool {
-        self.since
-            .is_some_and(|since| now.since(since) >= STANDING_TIME)
-    }
-
     /// Returns the longest wait with which a call is admitted whose response would still be useful
     /// after a wait of `useful_wait`, where a slot is released every `release_interval` on average.
     pub fn max_queue_wait(
@@ -51,7 +45,10 @@
         release_interval: Duration,
         now: time::MonotonicTime,
     ) -> Duration {
-        if !self.is_standing(now) {
+        let is_standing = self
+            .since
+            .is_some_and(|since| now.since(since) >= STANDING_TIME);
+        if !is_standing {
             return useful_wait;
         }
         let min_wait = release_interval * MIN_STANDING_RELEASES;
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -265,9 +265,8 @@
         /// Burst size of an owner's rate limit, as the time in which the rate yields it, in
         /// milliseconds.
         burst_ms = 1000, 1..=60_000;
-        /// Whether calls of every class are held to the target latency of their route while the
-        /// queue of their target has not been empty for a while; with 0 only calls of the
-        /// lowest-priority class are, and others wait until their deadline.
+        /// Whether calls of every class are held to the target latency of their route; with 0 only
+        /// calls of the lowest-priority class are, and others wait until their deadline.
         latency_for_all = 0, 0..=1;
     }
 
--- a/crates/testkit/src/model/run.rs
+++ b/crates/testkit/src/model/run.rs
@@ -210,6 +210,14 @@
         self
     }
 
+    /// Changes every owner node, for example its tunables.
+    #[must_use]
+    pub fn with_owners(mut self, change: impl Fn(&mut node::NodeReducer)) -> Self {
+        let owners = self.targets.iter_mut().map(|target| &mut target.node);
+        owners.for_each(change);
+        self
+    }
+
     /// Makes the first `count` targets break every connection and the others work.
     pub fn set_broken(&mut self, count: usize) {
         for (number, target) in self.targets.iter_mut().enumerate() {
