Dependencies: calls of runs first, and room before work

Cause: a run holds a slot until the calls that it makes have ended, and one refused call makes the whole run vain. Nothing in a request tells that a run made it, and no node knew whether the calls of a run could be had before it began the run.

Change, off by default (tunables.dependencies.nested_first, held_percent): - An owner node recognises a route whose calls runs make by the services at whose nodes its calls begin, compared with the shares of the services in the nodes. Such calls get CallPrecedence::Nested and pass the ingress throttle. - The node that owns a run's target learns which calls the runs of a route make, sees which are refused, and reports the share of runs expected to fail in a response header of its own (hz-d), only while there is a shortage. - Ingress nodes refuse new calls of the route in proportion, not run, with HZ3028 and the service that has no room; reports expire within a second.

Tests: expected.rs builds its report with the default for the new field; it checks what it did.

--- a/crates/daemon/src/callers/attempt.rs
+++ b/crates/daemon/src/callers/attempt.rs
@@ -148,7 +148,8 @@
     let headers = response.headers_mut();
     let load = http::take_record(headers, wire::LOAD_HEADER);
     let refusal: Option<wire::CallRefusal> = http::take_record(headers, wire::REFUSAL_HEADER);
-    let report = calls::AttemptReport { load, bytes };
+    let room = http::take_record(headers, wire::ROOM_HEADER);
+    let report = calls::AttemptReport { load, bytes, room };
     match refusal {
         Some(refusal) => (Err(calls::AttemptResult::Refused(refusal)), report),
         None => (Ok(response), report),
--- a/crates/daemon/src/gauges.rs
+++ b/crates/daemon/src/gauges.rs
@@ -15,6 +15,7 @@
     update_members(state, metrics);
     update_group(state, metrics);
     update_rollouts(state, metrics);
+    update_dependencies(state, metrics);
     metrics.retry_budget.reset();
     let tunables = &state.settings.tunables.retry;
     let policy = retry::BudgetPolicy::for_retries(tunables, state.membership.node_count);
@@ -63,6 +64,23 @@
     }
 }
 
+fn update_dependencies(state: &reducer::EngineState, metrics: &metrics::ProcessMetrics) {
+    let (tunables, now) = (&state.settings.tunables.dependencies, state.now);
+    let permille = |share: f64| (share * 1000.0).round() as i64;
+    metrics.dependency_refused.reset();
+    for (route, share) in state.dependencies.refused_routes(tunables, now) {
+        let gauge = metrics
+            .dependency_refused
+            .with_label_values(&[route.as_str()]);
+        gauge.set(permille(share));
+    }
+    metrics.nested_refused.reset();
+    for (route, share) in state.dependencies.nested_routes(now) {
+        let gauge = metrics.nested_refused.with_label_values(&[route.as_str()]);
+        gauge.set(permille(share));
+    }
+}
+
 fn update_catalogue(state: &reducer::EngineState, metrics: &metrics::ProcessMetrics) {
     let version = state.dissemination.version();
     let gauge = metrics.catalogue_version.with_label_values(&NO_LABELS);
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -107,6 +107,10 @@
     refused_seconds: histogram "hazeltiller_refused_seconds" ["service", "class"];
     /// Time from an offer until its target's node gave it back, in seconds, as the caller's node sees it.
     given_back_seconds: histogram "hazeltiller_given_back_seconds" ["service"];
+    /// Share of a route's calls that this node refuses because calls that its runs make find no room, in thousandths.
+    dependency_refused: gauge "hazeltiller_dependency_refused_permille" ["route"];
+    /// Share of the calls of a route, made by runs at this node, that was refused lately, in thousandths.
+    nested_refused: gauge "hazeltiller_nested_refused_permille" ["route"];
     /// Calls that run at an own target.
     running: gauge "hazeltiller_running" ["target"];
     /// Calls that wait for a slot of an own target.
--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -405,6 +405,10 @@
     http::strip_internal_headers(&mut parts.headers);
     let load = http::unindexed_value(&plan.load);
     parts.headers.insert(wire::LOAD_HEADER, load);
+    if let Some(room) = &plan.room {
+        let room = http::header_value(room);
+        parts.headers.insert(wire::ROOM_HEADER, room);
+    }
     let body = ResponseBody {
         body,
         status: parts.status,
--- a/crates/engine/src/calls.rs
+++ b/crates/engine/src/calls.rs
@@ -70,6 +70,8 @@
     pub load: Option<wire::LoadReport>,
     /// Size of the request and response bodies together, in bytes; 0 if unknown.
     pub bytes: u64,
+    /// What the owner node reports of the room for the calls that runs make.
+    pub room: Option<wire::RoomReport>,
 }
 
 /// How a run of a call at its target ended, as seen by the owner node.
@@ -162,6 +164,8 @@
     pub deadline: time::MonotonicTime,
     /// Load of the target, reported to the ingress node with the response.
     pub load: wire::LoadReport,
+    /// Room for the calls that runs make, reported to the ingress node with the response.
+    pub room: Option<wire::RoomReport>,
     /// Whether the target is known to signal, so that a response without signals says something.
     pub is_signalling: bool,
 }
--- a/crates/engine/src/calls/ingress.rs
+++ b/crates/engine/src/calls/ingress.rs
@@ -8,8 +8,8 @@
 
 use super::attributes;
 use crate::{
-    admission, allowance, calls, event, health, ledger, organisations, quarantine, reducer, retry,
-    rollout, routing, settings,
+    admission, allowance, calls, dependencies, event, health, ledger, organisations, quarantine,
+    reducer, retry, rollout, routing, settings,
 };
 
 /// Bounds of the random factor that is applied to a retry delay.
@@ -74,6 +74,7 @@
     refusal: wire::CallRefusal,
     output: &mut event::ReducerOutput,
 ) {
+    dependencies::record_refusal(state, call, &refusal);
     let record = state.calls.ingress.get(&call);
     let organisation = record.and_then(|record| record.organisation.clone());
     if let Some(organisation) = organisation
@@ -143,7 +144,12 @@
     call: ids::CallId,
     output: &mut event::ReducerOutput,
 ) {
-    if draw_throttled(state, call) {
+    let decision = dependencies::check(state, call);
+    if let dependencies::RoomDecision::Refuse(mut refusal) = decision {
+        refusal.retry_after_ms = add_jitter(state, refusal.retry_after_ms);
+        return refuse(state, call, refusal, output);
+    }
+    if decision != dependencies::RoomDecision::BeginNested && draw_throttled(state, call) {
         return refuse_throttled(state, call, output);
     }
     if attempt(state, call, false, output) {
@@ -336,6 +342,7 @@
         update_view(state, &attributes, &target, &result, report.load);
         back_off_limited(state, &attributes, &target, &result);
     }
+    dependencies::receive_report(state, &attributes, &result, report.room);
     if report.bytes > 0 {
         state.routing.sizes.record(&attributes.route, report.bytes);
     }
--- a/crates/engine/src/calls/owner.rs
+++ b/crates/engine/src/calls/owner.rs
@@ -5,7 +5,9 @@
 use hazeltiller_units::{code, ids};
 use hazeltiller_wire::calls as wire;
 
-use crate::{admission, calls, event, health, membership, quarantine, reducer, rollout};
+use crate::{
+    admission, calls, dependencies, event, health, membership, quarantine, reducer, rollout,
+};
 
 /// Refuses queued calls that waited too long and starts queued calls on free slots.
 pub fn tick(state: &mut reducer::EngineState, output: &mut event::ReducerOutput) {
@@ -25,9 +27,10 @@
 pub fn handle_offer(
     state: &mut reducer::EngineState,
     call: ids::CallId,
-    offer: wire::CallOffer,
+    mut offer: wire::CallOffer,
     output: &mut event::ReducerOutput,
 ) {
+    dependencies::recognise(state, &mut offer);
     if offer.deadline_left_ms == 0 {
         return calls::refuse(call, code::ResultCode::DeadlineExceeded, output);
     }
@@ -128,6 +131,7 @@
     state.signals.count_request(&record.offer.target, now);
     let target = record.offer.target.clone();
     let (deadline, first_byte_ms) = (record.deadline, record.offer.first_byte_ms);
+    let room = dependencies::begin_run(state, call);
     let Some(own_target) = state.membership.targets.get(&target) else {
         return calls::refuse(call, code::ResultCode::TargetMissing, output);
     };
@@ -137,6 +141,7 @@
         first_byte: Duration::from_millis(u64::from(first_byte_ms)).min(deadline.since(now)),
         deadline,
         load,
+        room,
         is_signalling: state.signals.report(&target).is_some(),
         target,
     };
@@ -153,6 +158,7 @@
     output: &mut event::ReducerOutput,
 ) {
     state.quarantine.end_call(call);
+    state.dependencies.end_run(call);
     let Some(record) = state.calls.owner.swap_remove(&call) else {
         return;
     };
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod allowance;
 pub mod calls;
+pub mod dependencies;
 pub mod dissemination;
 pub mod event;
 mod failed_store;
--- a/crates/engine/src/reducer.rs
+++ b/crates/engine/src/reducer.rs
@@ -6,8 +6,8 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::{
-    admission, allowance, calls, dissemination, event, health, ledger, membership, organisations,
-    quarantine, replication, retry, rollout, routing, settings, signals,
+    admission, allowance, calls, dependencies, dissemination, event, health, ledger, membership,
+    organisations, quarantine, replication, retry, rollout, routing, settings, signals,
 };
 
 /// The state of all decisions of a process.
@@ -39,6 +39,8 @@
     pub allowance: allowance::AllowanceState,
     /// Calls that pass through this process.
     pub calls: calls::CallState,
+    /// Calls that runs make, and the room for them.
+    pub dependencies: dependencies::DependencyState,
     /// Claims on requests with an idempotency key.
     pub ledger: ledger::LedgerState,
     /// Requests that crash targets.
@@ -69,6 +71,7 @@
             keys: organisations::KeyIndex::default(),
             allowance: allowance::AllowanceState::default(),
             calls: calls::CallState::default(),
+            dependencies: dependencies::DependencyState::default(),
             ledger: ledger::LedgerState::default(),
             quarantine: quarantine::QuarantineState::default(),
             rollout: rollout::RolloutState::default(),
@@ -102,6 +105,7 @@
             dissemination::tick(state, output);
             membership::tick(state, output);
             calls::tick(state, output);
+            dependencies::tick(state, output);
             ledger::tick(state, output);
             quarantine::tick(state, output);
             health::tick(state, output);
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -267,6 +267,15 @@
         burst_ms = 1000, 1..=60_000;
     }
 
+    /// Tunables of the calls that runs make.
+    DependencyTunables in dependencies {
+        /// Whether calls that runs make go before new calls of their class: 1 if they do.
+        nested_first = 0, 0..=1;
+        /// Maximum share of a route's calls that a node refuses while calls that the route's runs
+        /// make find no room, in percent; 0 begins all calls.
+        held_percent = 0, 0..=95;
+    }
+
     /// Tunables of the allowances of organisations.
     AllowanceTunables in allowance {
         /// Demand of a node that one grant of an organisation's home covers, in milliseconds.
--- a/crates/engine/src/timeline.rs
+++ b/crates/engine/src/timeline.rs
@@ -239,6 +239,20 @@
         /// Name of the target.
         target: ids::TargetName,
     },
+    /// This node refuses part of a route's calls because calls that its runs make find no room.
+    DependencyShort {
+        /// Name of the route.
+        route: ids::EntryName,
+        /// Service that has no room.
+        service: Option<ids::EntryName>,
+        /// Share of the calls that are refused, in thousandths.
+        refused_permille: u16,
+    },
+    /// This node begins all calls of a route again.
+    DependencyShortEnded {
+        /// Name of the route.
+        route: ids::EntryName,
+    },
     /// A target named a rate limit, or another one than before.
     TargetLimitNamed {
         /// Name of the target.
--- a/crates/engine/tests/expected.rs
+++ b/crates/engine/tests/expected.rs
@@ -175,7 +175,10 @@
             self.node.call(calls::CallEvent::AttemptEnded {
                 call,
                 result: calls::AttemptResult::Answered { status: 200 },
-                report: calls::AttemptReport { load: None, bytes },
+                report: calls::AttemptReport {
+                    bytes,
+                    ..calls::AttemptReport::default()
+                },
             });
             self.node.call(calls::CallEvent::Finished(call));
         }
--- a/crates/testkit/src/model/run.rs
+++ b/crates/testkit/src/model/run.rs
@@ -64,6 +64,8 @@
     report: Option<wire_signals::SignalReport>,
     /// Signals in the response, once the target has written it.
     signals: Option<signals::ResponseSignals>,
+    /// What the owner node reports of the room for the calls of runs.
+    room: Option<wire::RoomReport>,
     /// What the owner node reports of the target's signals with the response.
     answer_report: Option<wire_signals::SignalReport>,
 }
@@ -128,6 +130,8 @@
     /// Calls in flight by ingress node and target.
     in_flight: Vec<Vec<u32>>,
     processors: processor::NodeProcessors,
+    /// Whether calls begin at the owner nodes of targets.
+    has_shared_nodes: bool,
     faults: Vec<(usize, model::TargetFault)>,
     arrivals: Vec<model::TargetArrival>,
     signalled: Vec<model::SignalledResponse>,
@@ -189,6 +193,7 @@
             calls: IndexMap::new(),
             attempts: IndexMap::new(),
             processors: processor::NodeProcessors::default(),
+            has_shared_nodes: false,
             faults: Vec::new(),
             arrivals: Vec::new(),
             signalled: Vec::new(),
@@ -210,6 +215,46 @@
         self
     }
 
+    /// Makes all calls begin at the owner nodes of targets: those of callers at any of them, those
+    /// of a run at the owner node of its target.
+    #[must_use]
+    pub fn with_shared_nodes(mut self, change: impl Fn(&mut node::NodeReducer)) -> Self {
+        self.has_shared_nodes = true;
+        let records: Vec<_> = (0..self.targets.len())
+            .map(|target| (self.identity(target), self.target_record(target)))
+            .collect();
+        for (number, target) in self.targets.iter_mut().enumerate() {
+            target.node.state.random =
+                ChaCha8Rng::seed_from_u64(self.settings.seed + number as u64);
+            for (identity, record) in &records {
+                if identity.instance != target.node.state.settings.identity.instance {
+                    target
+                        .node
+                        .receive_record(identity, 1, vec![record.clone()]);
+                }
+            }
+            change(&mut target.node);
+        }
+        let nodes = self.ingresses.len() + self.targets.len();
+        self.in_flight = vec![vec![0; self.targets.len()]; nodes];
+        self
+    }
+
+    fn identity(&self, target: usize) -> hazeltiller_wire::membership::PeerIdentity {
+        let settings = &self.targets[target].node.state.settings;
+        settings.identity.clone()
+    }
+
+    /// Returns the reducer of the node with this index: an ingress node or, after these, the owner
+    /// node of a target.
+    fn node_mut(&mut self, index: usize) -> &mut node::NodeReducer {
+        let ingresses = self.ingresses.len();
+        match index.checked_sub(ingresses) {
+            None => &mut self.ingresses[index],
+            Some(target) => &mut self.targets[target].node,
+        }
+    }
+
     /// Makes the first `count` targets break every connection and the others work.
     pub fn set_broken(&mut self, count: usize) {
         for (number, target) in self.targets.iter_mut().enumerate() {
--- a/crates/testkit/src/model/run/callers.rs
+++ b/crates/testkit/src/model/run/callers.rs
@@ -21,7 +21,11 @@
             return;
         }
         self.schedule_next_call(kind);
-        let ingress = self.random.random_range(0..self.ingresses.len());
+        let ingress = if self.has_shared_nodes {
+            self.ingresses.len() + self.random.random_range(0..self.targets.len())
+        } else {
+            self.random.random_range(0..self.ingresses.len())
+        };
         let call = ModelCall {
             phase,
             kind,
@@ -64,11 +68,24 @@
             |timeout: Duration| timeout.saturating_sub(self.now.since(call.first_sent_at));
         let arrival = calls::CallArrival {
             deadline_left: kind.caller_policy.timeout.map(time_left),
+            caller: self.caller_service(call.ingress),
             ..node::arrival(number, kind.path)
         };
         self.reduce_at_ingress(number, calls::CallEvent::Arrived(arrival));
     }
 
+    /// Returns the service on whose node a call begins.
+    fn caller_service(&self, node: usize) -> Option<ids::EntryName> {
+        let target = self.targets.get(node.checked_sub(self.ingresses.len())?)?;
+        Some(
+            target
+                .settings
+                .service_name
+                .parse()
+                .expect("the name is valid"),
+        )
+    }
+
     /// Schedules a caller's retry after a failure or refusal, unless its retries or time are used
     /// up.
     pub(super) fn schedule_retry(&mut self, mut call: ModelCall, retry_after: Duration) {
@@ -91,8 +108,10 @@
 
     pub(super) fn reduce_at_ingress(&mut self, call: u64, event: calls::CallEvent) {
         let ingress = self.calls[&call].ingress;
-        self.ingresses[ingress].now = self.now;
-        let effects = self.ingresses[ingress].call(event);
+        let now = self.now;
+        let node = self.node_mut(ingress);
+        node.now = now;
+        let effects = node.call(event);
         for effect in effects {
             match effect {
                 calls::CallEffect::Attempt(_, plan) => self.attempt(call, ingress, *plan),
@@ -137,6 +156,7 @@
             has_failed: false,
             report: plan.signals,
             signals: None,
+            room: None,
             answer_report: None,
         };
         self.attempts.insert(number, attempt);
@@ -198,6 +218,7 @@
             result,
             report: calls::AttemptReport {
                 load,
+                room: attempt.room,
                 ..calls::AttemptReport::default()
             },
         };
@@ -215,7 +236,7 @@
             return;
         };
         let event = calls::CallEvent::Finished(ids::CallId(number));
-        self.ingresses[call.ingress].call(event);
+        self.node_mut(call.ingress).call(event);
         if let Some(parent) = call.parent {
             self.end_inner_call(parent, result.is_ok());
         }
--- a/crates/testkit/src/model/run/owners.rs
+++ b/crates/testkit/src/model/run/owners.rs
@@ -42,6 +42,7 @@
             match effect {
                 calls::CallEffect::Run(call, plan) => {
                     self.targets[target].loads.insert(call.0, plan.load);
+                    self.attempts[&call.0].room = plan.room;
                     self.receive_request(target, call.0);
                 }
                 calls::CallEffect::ReportSignals(call, report) => {
@@ -107,7 +108,11 @@
             let inner_call = ModelCall {
                 phase,
                 kind: inner.kind,
-                ingress: target % self.ingresses.len(),
+                ingress: if self.has_shared_nodes {
+                    self.ingresses.len() + target
+                } else {
+                    target % self.ingresses.len()
+                },
                 first_sent_at: self.now,
                 sent_at: self.now,
                 retries_left: 0,
--- a/crates/testkit/src/model/run/target_faults.rs
+++ b/crates/testkit/src/model/run/target_faults.rs
@@ -70,7 +70,10 @@
         self.publish_record(target, true);
     }
 
-    fn target_record(&self, target: usize) -> hazeltiller_wire::membership::TargetRecord {
+    pub(super) fn target_record(
+        &self,
+        target: usize,
+    ) -> hazeltiller_wire::membership::TargetRecord {
         let settings = &self.targets[target].settings;
         let name = format!("target-{target}");
         node::target(&name, settings.service_name, settings.announced_slots)
--- a/crates/units/src/code.rs
+++ b/crates/units/src/code.rs
@@ -95,6 +95,7 @@
     KeyUnknown = 3024, "the request's API key is missing or belongs to no organisation", "send a key of an organisation in the catalogue";
     AllowanceExceeded = 3025, "the organisation is over its allowance", "retry after the time given in the response";
     TargetLimited = 3026, "every target that could take the call is at the rate limit that it named", "retry after the time given in the response";
+    DependencySaturated = 3028, "a service that runs of the route call has no room for their calls", "retry after the time given in the response";
     QuorumMissing = 4001, "no majority of the control group can be reached", "resend the change when a majority of the controls is reachable";
     OutcomeUnknown = 4002, "the change may or may not have been accepted", "resend it with the same change id";
     LeaderUnknown = 4003, "the control group has no leader at the moment", "resend the change shortly";
--- a/crates/wire/src/calls.rs
+++ b/crates/wire/src/calls.rs
@@ -47,6 +47,8 @@
 /// Header with the [`CallPrecedence`] of an offer, if it is not that of a new call; used between
 /// nodes only.
 pub const PRECEDENCE_HEADER: &str = "hz-p";
+/// Response header with a [`RoomReport`]; used between nodes only.
+pub const ROOM_HEADER: &str = "hz-d";
 /// Header with the name of the organisation that a call belongs to; used between nodes only.
 pub const CALL_ORGANISATION_HEADER: &str = "hz-g";
 /// Header with the name of the organisation that a request belongs to, for its target.
@@ -338,6 +340,18 @@
     }
 }
 
+/// What an owner node reports, while there is a shortage, of the calls that runs make.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RoomReport {
+    /// Whether the calls of the route that the report accompanies are made by runs.
+    pub is_nested: bool,
+    /// Share of the runs of the route that are expected to fail because calls of theirs are
+    /// refused, in thousandths.
+    pub short_permille: u16,
+    /// Service that refuses these calls.
+    pub service: Option<ids::EntryName>,
+}
+
 /// Load of a target, as its owner node reports it with every response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadReport {
