Bandwidth: large responses by turns, admission by bytes, targets by the backlog of their link

Cause: nodes with narrow links queue large responses in the buffers of their sockets, so that small ones come a tenth of a second late, and run downloads that the link cannot deliver in time.

Change: where the rate of a node's link is set, bodies of large responses get turns of the link by start-time fair queueing between organisations; small ones go at once. The owner node learns the response sizes of routes and refuses at once what its link cannot deliver within the target latency or deadline; ingress nodes prefer targets whose link is free, by a header of its own.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -55,6 +55,7 @@
 async fn serve_connection(context: Arc<process::ProcessContext>, mut stream: TcpStream) {
     let in_flight_guard = context.drain.in_flight();
     let limits = connection_limits(&context);
+    let uses_link = uses_link(&stream);
     let mut preface = BytesMut::new();
     let is_http2 = tokio::select! {
         is_http2 = detect_http2(&mut stream, &mut preface, limits.idle_timeout) => is_http2,
@@ -66,10 +67,11 @@
     let (reader, writer) = stream.into_split();
     let reader = std::io::Cursor::new(preface.freeze()).chain(reader);
     if is_http2 {
-        serve_http2(&context, tokio::io::join(reader, writer), &limits).await;
+        let stream = tokio::io::join(reader, writer);
+        serve_http2(&context, stream, uses_link, &limits).await;
     } else {
         let drain = context.drain.clone();
-        let service = Arc::new(CallerHandler(context));
+        let service = Arc::new(CallerHandler { context, uses_link });
         http1::serve(reader, writer, limits, service, drain).await;
     }
     drop(in_flight_guard);
@@ -94,6 +96,7 @@
 async fn serve_http2(
     context: &Arc<process::ProcessContext>,
     stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    uses_link: bool,
     limits: &http1::ConnectionLimits,
 ) {
     let shared = Arc::clone(context);
@@ -101,7 +104,7 @@
         let context = Arc::clone(&shared);
         async move {
             let request = request.map(http::stream_body);
-            Ok::<_, Infallible>(serve_request(context, request).await)
+            Ok::<_, Infallible>(serve_over_link(context, uses_link, request).await)
         }
     });
     let mut server = http2::Builder::new(rt::TokioExecutor::new());
@@ -141,11 +144,36 @@
 }
 
 /// Handles the requests of an HTTP/1.1 connection.
-struct CallerHandler(Arc<process::ProcessContext>);
+struct CallerHandler {
+    context: Arc<process::ProcessContext>,
+    uses_link: bool,
+}
 
 impl http1::CallHandler for CallerHandler {
     async fn serve(&self, request: http1::CallRequest) -> http1::CallResponse {
-        serve_request(Arc::clone(&self.0), request).await
+        serve_over_link(Arc::clone(&self.context), self.uses_link, request).await
+    }
+}
+
+/// Returns whether a caller is on another machine, so that responses to it take this node's link.
+fn uses_link(stream: &TcpStream) -> bool {
+    match (stream.peer_addr(), stream.local_addr()) {
+        (Ok(peer), Ok(own)) => peer.ip() != own.ip(),
+        _ => false,
+    }
+}
+
+async fn serve_over_link(
+    context: Arc<process::ProcessContext>,
+    uses_link: bool,
+    request: http1::CallRequest,
+) -> http1::CallResponse {
+    let link = context.link.clone();
+    let response = serve_request(context, request).await;
+    if uses_link {
+        link.send(response, None)
+    } else {
+        response
     }
 }
 
--- a/crates/daemon/src/callers/attempt.rs
+++ b/crates/daemon/src/callers/attempt.rs
@@ -2,13 +2,13 @@
 
 use std::{sync::Arc, time::Duration};
 
-use hazeltiller_engine::{calls, event, signals, timeline};
+use hazeltiller_engine::{bandwidth, calls, event, signals, timeline};
 use hazeltiller_units::{code, ids};
 use hazeltiller_wire::{calls as wire, signals as wire_signals};
 use hyper::{Request, Response, Uri, body::Body};
 use tokio::time;
 
-use crate::{http, owner, pool, process, response_buffer, trace};
+use crate::{http, link_shares, owner, pool, process, response_buffer, trace};
 
 /// Extra time after the deadline for the owner node's own refusal to arrive.
 const DEADLINE_GRACE: Duration = Duration::from_millis(20);
@@ -39,6 +39,8 @@
     } else {
         prepare_offer(&mut request, plan);
         trace::set_clock(&context.clock, request.headers_mut());
+        let body_bytes = request.body().size_hint().lower();
+        context.link.charge(link_shares::HEAD_BYTES + body_bytes);
         let sending = context.nodes.send(plan.candidate.address, request);
         match time::timeout(time_left + DEADLINE_GRACE, sending).await {
             Ok(Ok(mut response)) => {
@@ -65,6 +67,15 @@
         let reported = signals::SignalEvent::Reported(received);
         context.engine.tell(event::Event::Signals(reported));
     }
+    let backlog_ms: Option<u32> =
+        http::take_record(response.headers_mut(), wire::LINK_BACKLOG_HEADER);
+    if let Some(backlog_ms) = backlog_ms.filter(|_| !is_local) {
+        let reported = bandwidth::BandwidthEvent::Reported {
+            target: plan.offer.target.clone(),
+            backlog: Duration::from_millis(u64::from(backlog_ms)),
+        };
+        context.engine.tell(event::Event::Bandwidth(reported));
+    }
     let (mut result, report) = split_response(response);
     if !is_local && let Ok(response) = result {
         result = buffer_response(context, response, started_at + time_left + DEADLINE_GRACE).await;
@@ -73,6 +84,10 @@
         let target = plan.offer.target.as_str().parse();
         let target = target.expect("a target name is a valid header value");
         response.headers_mut().insert(wire::TARGET_HEADER, target);
+        if let Some(organisation) = &plan.organisation {
+            let organisation = link_shares::ResponseOrganisation(organisation.clone());
+            response.extensions_mut().insert(organisation);
+        }
     }
     (result, report)
 }
--- a/crates/daemon/src/gauges.rs
+++ b/crates/daemon/src/gauges.rs
@@ -2,7 +2,7 @@
 
 use hazeltiller_engine::{admission, dissemination::convergence, reducer, replication, retry};
 
-use crate::{byte_counts, metrics};
+use crate::{byte_counts, link_shares, metrics};
 
 const NO_LABELS: [&str; 0] = [];
 
@@ -15,6 +15,7 @@
     update_members(state, metrics);
     update_group(state, metrics);
     update_rollouts(state, metrics);
+    update_link(state, metrics);
     metrics.retry_budget.reset();
     let tunables = &state.settings.tunables.retry;
     let policy = retry::BudgetPolicy::for_retries(tunables, state.membership.node_count);
@@ -63,6 +64,14 @@
     }
 }
 
+fn update_link(state: &reducer::EngineState, metrics: &metrics::ProcessMetrics) {
+    let backlog = metrics.link_backlog.with_label_values(&NO_LABELS);
+    backlog.set(state.bandwidth.backlog(state.now).as_millis() as i64);
+    metrics.link_refusals.reset();
+    let refusals = metrics.link_refusals.with_label_values(&NO_LABELS);
+    refusals.inc_by(state.bandwidth.refused());
+}
+
 fn update_catalogue(state: &reducer::EngineState, metrics: &metrics::ProcessMetrics) {
     let version = state.dissemination.version();
     let gauge = metrics.catalogue_version.with_label_values(&NO_LABELS);
@@ -140,6 +149,18 @@
     }
 }
 
+/// Sets the counters of the bytes handed to this node's link, if its rate is known.
+pub fn update_link_counters(link: &link_shares::LinkShares, metrics: &metrics::ProcessMetrics) {
+    metrics.link_bytes.reset();
+    let Some((small, large)) = link.sent_bytes() else {
+        return;
+    };
+    for (size, bytes) in [("small", small), ("large", large)] {
+        let counter = metrics.link_bytes.with_label_values(&[size]);
+        counter.inc_by(bytes);
+    }
+}
+
 /// Sets the byte counters from the counts of the links and listeners.
 pub fn update_byte_counters(counts: &byte_counts::ByteCounts, metrics: &metrics::ProcessMetrics) {
     metrics.sent_bytes.reset();
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod handshake;
 pub mod http;
 pub mod http1;
+pub mod link_shares;
 pub mod links;
 pub mod listener;
 pub mod logging;
--- a/crates/daemon/src/links.rs
+++ b/crates/daemon/src/links.rs
@@ -22,7 +22,7 @@
     time,
 };
 
-use crate::{byte_counts, engine_actor, handshake};
+use crate::{byte_counts, engine_actor, handshake, link_shares};
 
 /// Capacity of the send queue of a link, in messages.
 const QUEUE_CAPACITY_MESSAGES: usize = 512;
@@ -59,6 +59,7 @@
     credentials: handshake::LinkCredentials,
     lost_links: mpsc::UnboundedSender<SocketAddr>,
     counts: byte_counts::ByteCounts,
+    shares: link_shares::LinkShares,
 }
 
 impl LinkTable {
@@ -74,11 +75,18 @@
                 credentials,
                 lost_links,
                 counts,
+                shares: link_shares::LinkShares::default(),
             },
             receiver,
         )
     }
 
+    /// Charges messages to the link of this node from now on.
+    #[must_use]
+    pub fn charged_to(self, shares: link_shares::LinkShares) -> Self {
+        Self { shares, ..self }
+    }
+
     /// Queues a message for a peers address, or drops it if the queue is full.
     pub fn send(&self, to: SocketAddr, frame: &message::PeerFrame) {
         let bytes = codec::encode_frame(frame);
@@ -99,6 +107,7 @@
             }
         }
         self.counts.count_sent(to, category, size);
+        self.shares.charge(size as u64);
     }
 
     fn open(&self, to: SocketAddr) -> mpsc::Sender<Vec<u8>> {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -135,6 +135,12 @@
     sent_bytes: counter "hazeltiller_sent_bytes_total" ["peer", "reason"];
     /// Bytes received from other processes, by reason.
     received_bytes: counter "hazeltiller_received_bytes_total" ["reason"];
+    /// Bytes handed to the link of this node while its rate is known, by how: at once (small) or by turns (large).
+    link_bytes: counter "hazeltiller_link_bytes_total" ["size"];
+    /// Milliseconds in which the link of this node sends what waits for it.
+    link_backlog: gauge "hazeltiller_link_backlog_milliseconds" [];
+    /// Offers refused because the link of this node could not deliver their responses in time.
+    link_refusals: counter "hazeltiller_link_refusals_total" [];
     /// Links that were closed because the other side lacked the key or sent what is no message.
     refused_peers: counter "hazeltiller_refused_peers_total" ["code"];
     /// Term of the control group, as this control knows.
--- a/crates/daemon/src/operators/observability.rs
+++ b/crates/daemon/src/operators/observability.rs
@@ -29,6 +29,7 @@
     // While the process shuts down the state can't be read, and the last values are returned.
     let _: Option<()> = context.engine.inspect(update).await;
     gauges::update_byte_counters(&context.bytes, &context.metrics);
+    gauges::update_link_counters(&context.link, &context.metrics);
     let mut response = Response::new(http::full_body(context.metrics.render()));
     let content_type = header::HeaderValue::from_static(METRICS_CONTENT_TYPE);
     response
--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -10,6 +10,7 @@
 
 use bytes::Bytes;
 use hazeltiller_engine::{
+    bandwidth,
     calls::{self, transit},
     event, quarantine, signals, timeline,
 };
@@ -36,6 +37,10 @@
 /// connection is closed afterwards.
 const DECLINED_BODY_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Backlog of the link from which ingress nodes are told of it. A shorter one is that of turns
+/// under way.
+const MIN_REPORTED_BACKLOG: Duration = Duration::from_millis(10);
+
 /// Serves a call offered by another node.
 pub async fn serve_offer(
     context: Arc<process::ProcessContext>,
@@ -65,11 +70,28 @@
         let reported = signals::SignalEvent::Reported(received);
         context.engine.tell(event::Event::Signals(reported));
     }
-    let clock = context.clock.clone();
+    let (clock, link) = (context.clock.clone(), context.link.clone());
+    let organisation = organisation_of(request.headers());
     let request = request.map(http::stream_body);
     let mut response = serve_local(context, offer, report.is_some(), request).await;
     trace::set_clock(&clock, response.headers_mut());
-    response
+    set_link_backlog(response.headers_mut(), link.backlog());
+    link.send(response, organisation)
+}
+
+/// Returns the organisation that an offered call belongs to.
+fn organisation_of(headers: &HeaderMap) -> Option<ids::EntryName> {
+    let name = headers.get(wire::CALL_ORGANISATION_HEADER)?;
+    name.to_str().ok()?.parse().ok()
+}
+
+/// Tells the ingress node of the backlog of this node's link, if it is worth telling.
+fn set_link_backlog(headers: &mut HeaderMap, backlog: Duration) {
+    if backlog >= MIN_REPORTED_BACKLOG {
+        let millis = u32::try_from(backlog.as_millis()).unwrap_or(u32::MAX);
+        let value = http::unindexed_value(&millis);
+        headers.insert(wire::LINK_BACKLOG_HEADER, value);
+    }
 }
 
 /// Joins the terms and the attempt to an offer, and deducts the measured transit time from its
@@ -97,8 +119,8 @@
 ) -> Response<http::StreamBody> {
     let call = context.next_call_id();
     let id = request_id(&context, request.headers());
-    let organisation = request.headers_mut().remove(wire::CALL_ORGANISATION_HEADER);
-    let organisation = organisation.and_then(|name| name.to_str().ok()?.parse().ok());
+    let organisation = organisation_of(request.headers());
+    request.headers_mut().remove(wire::CALL_ORGANISATION_HEADER);
     let metadata = dialect::AttemptMetadata {
         target: offer.target.clone(),
         request: id.clone(),
@@ -400,6 +422,13 @@
         // done in that case, too.
         let status = parts.status.as_u16();
         guard.result = calls::RunResult::Done { status };
+    } else if guard.context.link.is_known()
+        && let Some(bytes) = body.size_hint().exact()
+    {
+        let call = guard.call;
+        let responded = bandwidth::BandwidthEvent::Responded { call, bytes };
+        let event = event::Event::Bandwidth(responded);
+        guard.context.engine.tell(event);
     }
     http::strip_hop_by_hop_headers(&mut parts.headers);
     http::strip_internal_headers(&mut parts.headers);
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -27,8 +27,8 @@
 
 use crate::{
     byte_counts, callers, claims_task, critical_tasks, dialect, drain, engine_actor, handshake,
-    links, metrics, observer, operators, peers, pool, probe, readiness, settings, store_task,
-    targets, timeline, trace,
+    link_shares, links, metrics, observer, operators, peers, pool, probe, readiness, settings,
+    store_task, targets, timeline, trace,
 };
 
 /// Interval of the tick events that drive the timers of the reducer.
@@ -88,6 +88,8 @@
     pub nodes: pool::NodePool,
     /// Measured transit times of offers from other nodes.
     pub transit: transit::TransitMeterTable,
+    /// The link that this node's responses share.
+    pub link: link_shares::LinkShares,
     /// Connections to this node's targets.
     pub targets: pool::TargetPool,
     /// Protocols towards callers, targets and operators.
@@ -295,7 +297,9 @@
         incarnation: credentials.identity.incarnation,
     });
     let bytes = byte_counts::ByteCounts::default();
+    let link = link_shares::LinkShares::new(&settings.tunables.bandwidth);
     let (links, lost_links) = links::LinkTable::new(credentials.clone(), bytes.clone());
+    let links = links.charged_to(link.clone());
     let (store_handle, store_batches) = store_task::StoreHandle::new();
     let (claims, claim_batches) = std::sync::mpsc::channel();
     let (probes, probe_plans) = mpsc::unbounded_channel();
@@ -312,6 +316,8 @@
     let guard = registry.guard(critical_tasks::CriticalTask::Reducer);
     tokio::spawn(engine.clone().hold_until_shutdown(guard));
     tokio::spawn(links::report_lost_links(lost_links, engine.clone()));
+    tokio::spawn(link.clone().grant_turns());
+    tokio::spawn(link.clone().report_backlog(engine.clone()));
     tokio::spawn(probe::run(probe_plans, engine.clone()));
     if let Some(file) = store {
         let engine = engine.clone();
@@ -344,6 +350,7 @@
         bytes,
         nodes: pool::NodePool::new(credentials.clone()),
         transit: transit::TransitMeterTable::default(),
+        link,
         targets: pool::TargetPool::default(),
         dialects: options.dialects,
         caller: settings.caller_service.clone(),
--- a/crates/daemon/src/settings/installation.rs
+++ b/crates/daemon/src/settings/installation.rs
@@ -17,6 +17,8 @@
 /// Allowed numbers of controls whose simultaneous loss is tolerated.
 pub const LOST_CONTROLS_RANGE: RangeInclusive<u64> = 0..=3;
 
+/// Allowed rates of a machine's link, in Mbit/s.
+pub const LINK_RANGE_MBPS: RangeInclusive<f64> = 0.0..=100_000.0;
 /// Allowed numbers of retries or requests beyond a limit.
 pub const SLACK_RANGE: RangeInclusive<f64> = 0.0..=100_000.0;
 
@@ -37,6 +39,7 @@
 /// covers versions that turn out bad while traffic is being shifted to them.
 const TRIAL_FRACTION: f64 = 0.6;
 const PERMILLE: f64 = 1000.0;
+const KBITS_PER_MBIT: f64 = 1000.0;
 /// Divisor of the granted retries beyond the ratio that gives the reserve of one class.
 const RETRY_SLACK_DIVISOR: f64 = 4.0;
 /// Divisor of the tolerated excess of an organisation's requests that gives what a home may grant
@@ -62,6 +65,8 @@
     pub canary_share: Option<f64>,
     /// Requests of an organisation beyond its rate and burst that are tolerated.
     pub allowance_slack: Option<f64>,
+    /// Rate of the machine's link, in Mbit/s.
+    pub link_mbps: Option<f64>,
 }
 
 impl InstallationSettings {
@@ -90,6 +95,9 @@
         if let Some(slack) = self.allowance_slack {
             tunables.allowance.spare = (slack / ALLOWANCE_SLACK_DIVISOR) as u64;
         }
+        if let Some(link_mbps) = self.link_mbps {
+            tunables.bandwidth.link_kbits = (link_mbps * KBITS_PER_MBIT) as u64;
+        }
         if let Some(share) = self.canary_share {
             let trial = (share * TRIAL_FRACTION * PERMILLE) as u64;
             tunables.rollout.trial_permille = trial.max(1);
--- a/crates/daemon/src/settings/schema.rs
+++ b/crates/daemon/src/settings/schema.rs
@@ -262,6 +262,13 @@
             "unknown",
             "Requests of an organisation beyond its rate and burst that are tolerated; allowance.spare is derived from it.",
         ),
+        row(
+            "installation.link_mbps",
+            SettingKind::Decimal(installation::LINK_RANGE_MBPS),
+            false,
+            "unknown",
+            "Rate of the machine's link, in Mbit/s; bandwidth.link_kbits is derived from it.",
+        ),
         row(
             "installation.canary_share",
             SettingKind::Decimal(installation::CANARY_SHARE_RANGE),
--- a/crates/engine/src/admission.rs
+++ b/crates/engine/src/admission.rs
@@ -13,7 +13,7 @@
 use hazeltiller_wire::{calls as wire, membership as wire_membership};
 use indexmap::IndexMap;
 
-use crate::{calls, health, membership, reducer, rollout, routing, settings};
+use crate::{bandwidth, calls, health, membership, reducer, rollout, routing, settings};
 
 pub mod estimate;
 mod latency;
@@ -134,6 +134,9 @@
     if let Some(refusal) = check_rate(state, offer) {
         return AdmissionDecision::Refuse(refusal);
     }
+    if let Some(late) = bandwidth::late_delivery(state, offer) {
+        return AdmissionDecision::Refuse(refusal::link_refusal(state, offer, late));
+    }
     let decision = place_call(state, call, offer);
     if !matches!(decision, AdmissionDecision::Refuse(_)) {
         let key = (offer.owner.clone(), offer.service.clone());
@@ -254,16 +257,21 @@
 
 /// Returns the load report on an own target that accompanies the response to a call.
 pub fn load_report(state: &reducer::EngineState, offer: &wire::CallOffer) -> wire::LoadReport {
-    let admission = state.admission.targets.get(&offer.target);
-    let run_time = admission.map_or(Duration::ZERO, |admission| {
-        admission.estimate.run_time(&offer.route, offer.cost)
-    });
+    let run_time = run_time(state, offer);
     wire::LoadReport {
         route_us: u32::try_from(run_time.as_micros()).unwrap_or(u32::MAX),
         ..load(state, &offer.target)
     }
 }
 
+/// Returns the expected run time of an offered call; zero before the first run.
+pub(crate) fn run_time(state: &reducer::EngineState, offer: &wire::CallOffer) -> Duration {
+    let admission = state.admission.targets.get(&offer.target);
+    admission.map_or(Duration::ZERO, |admission| {
+        admission.estimate.run_time(&offer.route, offer.cost)
+    })
+}
+
 /// Returns the load of an own target without a route's service time.
 pub fn load(state: &reducer::EngineState, target: &ids::TargetName) -> wire::LoadReport {
     let admission = state.admission.targets.get(target);
--- a/crates/engine/src/admission/refusal.rs
+++ b/crates/engine/src/admission/refusal.rs
@@ -8,7 +8,7 @@
 use hazeltiller_wire::calls as wire;
 
 use super::latency;
-use crate::{admission, reducer};
+use crate::{admission, bandwidth, reducer};
 
 /// Returns the refusal of a call that expired in the queue.
 pub fn expired_refusal(
@@ -98,6 +98,18 @@
     target_refusal(state, offer, code, limit, wait)
 }
 
+/// Returns the refusal of a call whose response this node's link would deliver too late.
+pub(super) fn link_refusal(
+    state: &reducer::EngineState,
+    offer: &wire::CallOffer,
+    late: bandwidth::LateDelivery,
+) -> wire::CallRefusal {
+    match late.limit {
+        wire::LimitField::Deadline => deadline_refusal(state, offer, late.excess),
+        _ => latency_refusal(state, offer, late.excess),
+    }
+}
+
 /// Returns the refusal of a call that would exceed the rate limit that its target names.
 pub(super) fn limit_refusal(
     state: &reducer::EngineState,
--- a/crates/engine/src/calls/owner.rs
+++ b/crates/engine/src/calls/owner.rs
@@ -153,6 +153,7 @@
     output: &mut event::ReducerOutput,
 ) {
     state.quarantine.end_call(call);
+    state.bandwidth.end_call(call);
     let Some(record) = state.calls.owner.swap_remove(&call) else {
         return;
     };
--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -6,7 +6,8 @@
 use hazeltiller_wire::{calls as wire_calls, membership as wire_membership, message};
 
 use crate::{
-    calls, dissemination, health, ledger, membership, quarantine, replication, signals, timeline,
+    bandwidth, calls, dissemination, health, ledger, membership, quarantine, replication, signals,
+    timeline,
 };
 
 /// An input of the reducer.
@@ -42,6 +43,8 @@
     Health(health::HealthEvent),
     /// An event of the signals that targets send in their responses.
     Signals(signals::SignalEvent),
+    /// An event of the links of nodes.
+    Bandwidth(bandwidth::BandwidthEvent),
 }
 
 /// An output of the reducer, to be carried out by the caller.
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admission;
 pub mod allowance;
+pub mod bandwidth;
 pub mod calls;
 pub mod dissemination;
 pub mod event;
--- a/crates/engine/src/reducer.rs
+++ b/crates/engine/src/reducer.rs
@@ -6,8 +6,8 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::{
-    admission, allowance, calls, dissemination, event, health, ledger, membership, organisations,
-    quarantine, replication, retry, rollout, routing, settings, signals,
+    admission, allowance, bandwidth, calls, dissemination, event, health, ledger, membership,
+    organisations, quarantine, replication, retry, rollout, routing, settings, signals,
 };
 
 /// The state of all decisions of a process.
@@ -47,6 +47,8 @@
     pub rollout: rollout::RolloutState,
     /// Signals that targets sent in their responses.
     pub signals: signals::SignalState,
+    /// Links of this node and of others.
+    pub bandwidth: bandwidth::BandwidthState,
 }
 
 impl EngineState {
@@ -73,6 +75,7 @@
             quarantine: quarantine::QuarantineState::default(),
             rollout: rollout::RolloutState::default(),
             signals: signals::SignalState::default(),
+            bandwidth: bandwidth::BandwidthState::default(),
             settings,
         }
     }
@@ -108,6 +111,7 @@
             rollout::tick(state, output);
             allowance::tick(state, output);
             signals::tick(state, output);
+            bandwidth::tick(state, output);
         }
         event::Event::Received { from, message } => {
             membership::record_contact(state, &from);
@@ -145,5 +149,6 @@
         event::Event::Quarantine(event) => quarantine::handle_event(state, event, output),
         event::Event::Health(event) => health::handle_event(state, event),
         event::Event::Signals(event) => signals::handle_event(state, event, output),
+        event::Event::Bandwidth(event) => bandwidth::handle_event(state, event),
     }
 }
--- a/crates/engine/src/routing/expected_latency.rs
+++ b/crates/engine/src/routing/expected_latency.rs
@@ -11,7 +11,7 @@
 use rand::seq::IndexedRandom;
 
 use super::{SelectionRequest, TargetSelection, table};
-use crate::{admission, health, reducer, routing, settings};
+use crate::{admission, bandwidth, health, reducer, routing, settings};
 
 /// Run time in seconds to assume if none of the compared targets has a measured one.
 const DEFAULT_RUN_TIME_S: f64 = 0.1;
@@ -29,7 +29,8 @@
     index: table::TargetIndex,
     /// Time until a slot is free.
     queue_wait_s: f64,
-    /// Time until the response, including the penalties for utilisation and distance.
+    /// Time until the response, including the wait for the link of the target's node and the
+    /// penalties for utilisation and distance.
     latency_s: f64,
     /// Measured run time in seconds, if there is a recent one.
     run_time_s: Option<f64>,
@@ -206,6 +207,7 @@
             }
             table::TargetDistance::Remote => offer_cost_s + REMOTE_REGION_PENALTY_S,
         };
+        let link_wait = bandwidth::link_wait(state, request.route, &target.target);
         let utilisation = (in_flight / slots.max(1.0)).min(1.0);
         ExpectedTarget {
             index: *index,
@@ -213,7 +215,8 @@
             run_time_s: measured_s,
             latency_s: queue_wait_s
                 + run_time_s * (1.0 + UTILISATION_PENALTY_SHARE * utilisation)
-                + distance_penalty_s,
+                + distance_penalty_s
+                + link_wait.as_secs_f64(),
         }
     };
     indexes.iter().map(estimate_one).collect()
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -318,6 +318,19 @@
         trial_permille = 60, 1..=500;
     }
 
+    /// Tunables of the link of a node.
+    BandwidthTunables in bandwidth {
+        /// Rate of the node's link, in kbit/s, by which large responses are sent by turns and calls
+        /// whose responses it can't deliver in time are refused; 0 if it is unknown, which does
+        /// neither.
+        link_kbits = 0, 0..=100_000_000;
+        /// Smallest response that is sent by turns, in bytes; smaller ones are sent at once.
+        paced_bytes = 8192, 1024..=1_048_576;
+        /// Time in which the link sends one turn of a large response, in milliseconds; small
+        /// messages wait behind two turns at most, and shorter ones cost more wake-ups.
+        turn_ms = 4, 1..=1000;
+    }
+
     /// Tunables of the timeline.
     TimelineTunables in timeline {
         /// Number of events that are kept, not counting events of calls.
--- a/crates/engine/src/timeline.rs
+++ b/crates/engine/src/timeline.rs
@@ -286,6 +286,16 @@
         /// Name of the target.
         target: ids::TargetName,
     },
+    /// This node refused calls because its link could not deliver their responses in time.
+    LinkFull {
+        /// Calls that it refused since the last such event.
+        refused: u64,
+        /// Time in which the link sends what waits for it, in milliseconds.
+        backlog_ms: u64,
+        /// Time in which it sends the expected responses of the calls at this node, in
+        /// milliseconds.
+        expected_ms: u64,
+    },
     /// A request was quarantined because it crashed targets.
     RequestQuarantined {
         /// Fingerprint of the request.
--- a/crates/units/src/measure.rs
+++ b/crates/units/src/measure.rs
@@ -1,6 +1,6 @@
 //! Rates: of calls in the notation of the catalogue, and of requests as targets name them.
 
-use std::{fmt, str::FromStr};
+use std::{fmt, str::FromStr, time::Duration};
 
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
@@ -113,3 +113,52 @@
         rate.0
     }
 }
+
+const BYTES_PER_KILOBIT: f64 = 125.0;
+
+/// Error for a text that is not the rate of a link.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(display("{text:?} is not the rate of a link: a positive number of kbit/s is expected"))]
+pub struct LinkRateError {
+    text: String,
+}
+
+/// Rate of a link in kbit/s, written `11000`; never zero.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LinkRate(u64);
+
+impl LinkRate {
+    /// Returns the rate of a link of that many kbit/s; `None` for zero.
+    pub fn from_kbits(kbits: u64) -> Option<Self> {
+        (kbits > 0).then_some(Self(kbits))
+    }
+
+    /// Returns the time in which the link sends a number of bytes.
+    pub fn transfer_time(self, bytes: f64) -> Duration {
+        Duration::from_secs_f64(bytes / self.bytes_per_second())
+    }
+
+    /// Returns the number of bytes that the link sends in a time.
+    pub fn bytes_in(self, span: Duration) -> f64 {
+        span.as_secs_f64() * self.bytes_per_second()
+    }
+
+    fn bytes_per_second(self) -> f64 {
+        self.0 as f64 * BYTES_PER_KILOBIT
+    }
+}
+
+impl fmt::Display for LinkRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.0, f)
+    }
+}
+
+impl FromStr for LinkRate {
+    type Err = LinkRateError;
+
+    fn from_str(text: &str) -> Result<Self, LinkRateError> {
+        let rate = text.parse().ok().and_then(Self::from_kbits);
+        rate.ok_or_else(|| LinkRateError { text: text.into() })
+    }
+}
--- a/crates/wire/src/calls.rs
+++ b/crates/wire/src/calls.rs
@@ -47,6 +47,9 @@
 /// Header with the [`CallPrecedence`] of an offer, if it is not that of a new call; used between
 /// nodes only.
 pub const PRECEDENCE_HEADER: &str = "hz-p";
+/// Response header with the time in which the backlog of the owner node's link drains, in
+/// milliseconds; absent without a backlog, and used between nodes only.
+pub const LINK_BACKLOG_HEADER: &str = "hz-b";
 /// Header with the name of the organisation that a call belongs to; used between nodes only.
 pub const CALL_ORGANISATION_HEADER: &str = "hz-g";
 /// Header with the name of the organisation that a request belongs to, for its target.
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests: one module per feature. Most start real processes on ports chosen by the
 //! system.
 
+mod bandwidth;
 mod command_line;
 mod control_group;
 mod crashing;
--- a/tests/all/pages.rs
+++ b/tests/all/pages.rs
@@ -78,6 +78,8 @@
         (derived.replication.voters, derived.retry.budget_percent),
         (3, 10)
     );
+    let link = tunables(r#""installation": {"link_mbps": 2.3}"#).bandwidth;
+    assert_eq!(link.link_kbits, 2300);
     let short_grace = tunables(r#""installation": {"grace_s": 2.0}"#).requests;
     assert_eq!((short_grace.leave_ms, short_grace.finish_ms), (1000, 700));
 }
--- a/tests/all/streaming.rs
+++ b/tests/all/streaming.rs
@@ -28,7 +28,7 @@
 type EchoBody = UnsyncBoxBody<Bytes, hyper::Error>;
 
 /// Starts a target that streams the body and trailers of each request back as its response.
-async fn start_echo_target(node: SocketAddr) {
+pub(crate) async fn start_echo_target(node: SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("the listener is bound");
     tokio::spawn(async move {
