--- a/crates/engine/src/calls/owner.rs
+++ b/crates/engine/src/calls/owner.rs
@@ -159,6 +159,7 @@
 ) {
     state.quarantine.end_call(call);
     state.dependencies.end_run(call);
+    state.bandwidth.end_call(call);
     let Some(record) = state.calls.owner.swap_remove(&call) else {
         return;
     };
