Returns: a refusal for want of capacity tells the caller when its turn is

Callers that were refused were told the time in which one target's queue drains. All of them came back within a tenth of a second, and most were refused again.

Each ingress node now keeps a line for each service, route and rank, at the rate at which its calls are answered. A refusal is an appointment in it; a caller that returns on time is recognised by its deadline, passes the throttle, searches for room without the placement budget and goes before new calls in the queue. Who has no turn within its time is told a time beyond its deadline. Organisations over their allowance have lines of their own. The limiter of target signals uses the same backlog.

Off by default (tunables.returns.appointments); decisions are then as before.

Tried and left: the whole rate for returns (a third of the turns refused again), turns paid from the placement budget (a third), a first turn for every empty line (too many turns with 72 nodes).

--- a/crates/daemon/src/gauges.rs
+++ b/crates/daemon/src/gauges.rs
@@ -15,6 +15,7 @@
     update_members(state, metrics);
     update_group(state, metrics);
     update_rollouts(state, metrics);
+    update_returns(state, metrics);
     metrics.retry_budget.reset();
     let tunables = &state.settings.tunables.retry;
     let policy = retry::BudgetPolicy::for_retries(tunables, state.membership.node_count);
@@ -140,6 +141,29 @@
     }
 }
 
+fn update_returns(state: &reducer::EngineState, metrics: &metrics::ProcessMetrics) {
+    metrics.returns.reset();
+    metrics.awaited_returns.reset();
+    for (key, line) in state.calls.returns.routes.iter() {
+        let labels = [key.service.as_str(), key.route.as_str()];
+        let awaited = metrics.awaited_returns.with_label_values(&labels);
+        awaited.add(line.len() as i64);
+        let counts = line.counts();
+        let results = [
+            ("appointed", counts.appointed),
+            ("kept", counts.kept),
+            ("refused", counts.refused),
+            ("lapsed", counts.lapsed),
+            ("none_left", counts.without_turn),
+        ];
+        for (result, count) in results {
+            let labels = [labels[0], labels[1], result];
+            let counter = metrics.returns.with_label_values(&labels);
+            counter.inc_by(count);
+        }
+    }
+}
+
 /// Sets the byte counters from the counts of the links and listeners.
 pub fn update_byte_counters(counts: &byte_counts::ByteCounts, metrics: &metrics::ProcessMetrics) {
     metrics.sent_bytes.reset();
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -97,6 +97,10 @@
     retries: counter "hazeltiller_retries_total" ["service"];
     /// Second tries that the budget of a service still allows.
     retry_budget: gauge "hazeltiller_retry_budget" ["service"];
+    /// Callers refused for want of capacity, by what became of the time that they were told: appointed (told one), kept (returned then), refused (then refused again), lapsed (did not return) or none_left (no time was left).
+    returns: counter "hazeltiller_returns_total" ["service", "route", "result"];
+    /// Callers that were told when to return and have not returned.
+    awaited_returns: gauge "hazeltiller_awaited_returns" ["service", "route"];
     /// Runs at own targets, by how they ended.
     runs: counter "hazeltiller_runs_total" ["service", "result"];
     /// Time from an offer to the end of its run, in seconds.
--- a/crates/daemon/src/observer.rs
+++ b/crates/daemon/src/observer.rs
@@ -9,7 +9,8 @@
 };
 
 use hazeltiller_engine::{
-    calls, dissemination, event, membership, reducer, replication, timeline as engine_timeline,
+    calls, dissemination, event, membership, reducer, replication, returns,
+    timeline as engine_timeline,
 };
 use hazeltiller_units::{code, ids};
 use indexmap::IndexMap;
@@ -333,6 +334,7 @@
                     node: plan.candidate.address,
                     deadline_left_ms: plan.offer.deadline_left_ms,
                     patience_ms: plan.offer.patience_ms,
+                    turn: turn_of(state, *call),
                     version: plan
                         .candidate
                         .rollout_cohort
@@ -384,7 +386,8 @@
                     );
                 }
                 let limit = self.describe_limit(state, *call, refusal);
-                self.call_refused(*call, refusal, limit);
+                let turn = turn_of(state, *call);
+                self.call_refused(*call, refusal, limit, turn);
             }
             calls::CallEffect::Replay(..) | calls::CallEffect::ReportSignals(..) => {}
         }
@@ -412,6 +415,7 @@
         call: ids::CallId,
         refusal: &hazeltiller_wire::calls::CallRefusal,
         limit: Option<String>,
+        turn: Option<returns::CallerTurn>,
     ) {
         let Some(open_call) = self.calls.get(&call) else {
             return;
@@ -452,6 +456,7 @@
                 outcome: refusal.outcome,
                 retry_after_ms: refusal.retry_after_ms,
                 limit,
+                turn,
                 took_us,
             });
         }
@@ -522,6 +527,11 @@
 }
 
 /// Returns the metric label of a failure.
+/// Returns what the caller of a call was told, or did, about its turn.
+fn turn_of(state: &reducer::EngineState, call: ids::CallId) -> Option<returns::CallerTurn> {
+    state.calls.ingress.get(&call)?.turn
+}
+
 fn failure_label(failure: CallFailure) -> &'static str {
     match failure {
         CallFailure::NotReached => "not_reached",
--- a/crates/engine/src/allowance.rs
+++ b/crates/engine/src/allowance.rs
@@ -20,7 +20,7 @@
 use indexmap::IndexMap;
 use rand::RngExt;
 
-use crate::{calls, event, reducer, settings};
+use crate::{calls, event, reducer, returns, settings};
 
 pub mod account;
 pub mod home;
@@ -97,6 +97,7 @@
         if let Some(requests) = account.due_ask(grant_time, now) {
             ask(state, organisation, requests, output);
         }
+        returns::record_passage(state, organisation);
         return true;
     }
     account.waiting.push_back(call);
@@ -113,6 +114,7 @@
     let life = settings::millis(state.settings.tunables.allowance.grant_life_ms);
     if let Some(account) = state.allowance.accounts.get_mut(organisation) {
         account.add(1, state.now, life);
+        returns::record_refund(state, organisation);
     }
 }
 
@@ -243,11 +245,12 @@
         };
         match account.decide(own_limit, now, draw) {
             account::WaitingDecision::Pass(call) => {
+                returns::record_passage(state, organisation);
                 let passed = calls::CallEvent::Allowed(call);
                 output.enqueue(event::Event::Calls(passed));
             }
             account::WaitingDecision::Refuse(call, retry_after) => {
-                let refusal = refusal(state, organisation, retry_after);
+                let refusal = refusal(state, organisation, call, retry_after);
                 output.refuse(call, refusal);
             }
             account::WaitingDecision::Ask => {
@@ -272,15 +275,21 @@
     }
 }
 
-/// Returns the refusal of a call beyond the allowance of its organisation. The retry delay has
-/// random jitter, so that callers refused together do not return together.
+/// Returns the refusal of a call beyond the allowance of its organisation. The caller is told when
+/// its turn is expected, or a delay with random jitter, so that callers refused together do not
+/// return together.
 fn refusal(
     state: &mut reducer::EngineState,
     organisation: &ids::EntryName,
+    call: ids::CallId,
     retry_after: Duration,
 ) -> wire_calls::CallRefusal {
-    let factor = state.random.random_range(1.0..2.0);
-    let retry_after = retry_after.max(MIN_RETRY_DELAY).mul_f64(factor);
+    let turn_ms = returns::appoint_passage(state, organisation, call);
+    let retry_after_ms = turn_ms.unwrap_or_else(|| {
+        let factor = state.random.random_range(1.0..2.0);
+        let retry_after = retry_after.max(MIN_RETRY_DELAY).mul_f64(factor);
+        retry_after.as_millis() as u32
+    });
     let limit = wire_calls::CallLimit {
         entry: entry::EntryKey {
             kind: entry::EntryKind::Organisation,
@@ -289,5 +298,5 @@
         field: wire_calls::LimitField::Rate,
     };
     wire_calls::CallRefusal::not_run(code::ResultCode::AllowanceExceeded)
-        .with_limit(limit, retry_after.as_millis() as u32)
+        .with_limit(limit, retry_after_ms)
 }
--- a/crates/engine/src/calls.rs
+++ b/crates/engine/src/calls.rs
@@ -11,7 +11,7 @@
 use hazeltiller_wire::{calls as wire, ledger as wire_ledger, signals as wire_signals};
 use indexmap::IndexMap;
 
-use crate::{event, ledger, organisations, reducer, rollout::cohort, routing};
+use crate::{event, ledger, organisations, reducer, returns, rollout::cohort, routing};
 
 pub mod attributes;
 pub mod caller_timeout;
@@ -194,6 +194,8 @@
     pub target: Option<ids::TargetName>,
     /// Deadline of the call.
     pub deadline: time::MonotonicTime,
+    /// Deadline that the caller states, which may be later than the route's.
+    pub caller_deadline: Option<time::MonotonicTime>,
     /// Targets of all attempts so far, in order.
     pub attempted_targets: Vec<ids::TargetName>,
     /// Maximum number of attempts that the route allows.
@@ -215,6 +217,8 @@
     pub attempted_at: time::MonotonicTime,
     /// Cohort of the service's targets from which the next attempt may choose during a rollout.
     pub cohort: cohort::CallCohort,
+    /// What the caller was told, or did, about its turn; absent if it has none.
+    pub turn: Option<returns::CallerTurn>,
 }
 
 /// A call at its owner node.
@@ -241,6 +245,8 @@
     pub caller_timeouts: caller_timeout::TimeoutTable,
     /// Throttles that refuse calls at the ingress node without an offer.
     pub throttles: throttle::ThrottleTable,
+    /// Callers that were told when to return.
+    pub returns: returns::ReturnState,
 }
 
 /// Refuses queued calls that waited too long and starts queued calls on free slots.
--- a/crates/engine/src/calls/ingress.rs
+++ b/crates/engine/src/calls/ingress.rs
@@ -9,7 +9,7 @@
 use super::attributes;
 use crate::{
     admission, allowance, calls, event, health, ledger, organisations, quarantine, reducer, retry,
-    rollout, routing, settings,
+    returns, rollout, routing, settings,
 };
 
 /// Bounds of the random factor that is applied to a retry delay.
@@ -124,6 +124,7 @@
         organisation,
         target: None,
         deadline: deadlines.deadline,
+        caller_deadline: deadline_left.map(|left| state.now + left),
         latency_deadline: deadlines.latency_deadline,
         free_placements: 0,
         attempted_targets: Vec::new(),
@@ -134,6 +135,7 @@
         is_outstanding: false,
         attempted_at: state.now,
         cohort,
+        turn: None,
     })
 }
 
@@ -143,7 +145,9 @@
     call: ids::CallId,
     output: &mut event::ReducerOutput,
 ) {
-    if draw_throttled(state, call) {
+    if returns::recognise(state, call) {
+        record_returning(state, call);
+    } else if draw_throttled(state, call) {
         return refuse_throttled(state, call, output);
     }
     if attempt(state, call, false, output) {
@@ -190,6 +194,15 @@
     is_refused
 }
 
+/// Counts a call that is offered because its caller returns when it was told to.
+fn record_returning(state: &mut reducer::EngineState, call: ids::CallId) {
+    if let Some(record) = state.calls.ingress.get(&call) {
+        let (service, route) = (&record.attributes.service, &record.attributes.route);
+        let throttles = &mut state.calls.throttles;
+        throttles.record_returning(service, route, state.now);
+    }
+}
+
 /// Refuses a call without an offer, with the retry delay of recent refusals.
 fn refuse_throttled(
     state: &mut reducer::EngineState,
@@ -201,7 +214,7 @@
     };
     let (service, route) = (&record.attributes.service, &record.attributes.route);
     let mut refusal = state.calls.throttles.refusal(service, route);
-    refusal.retry_after_ms = add_jitter(state, refusal.retry_after_ms);
+    set_retry_delay(state, call, &mut refusal);
     refuse(state, call, refusal, output);
 }
 
@@ -341,6 +354,7 @@
     }
     let Some(proof) = retry::FailureProof::from_result(&result) else {
         credit_budgets(state, &attributes, &result);
+        returns::record_answer(state, call);
         return forward_response(call, output);
     };
     release_outstanding(state, call);
@@ -360,10 +374,23 @@
         let throttles = &mut state.calls.throttles;
         throttles.record_no_capacity(&attributes.service, &attributes.route, &refusal);
     }
-    refusal.retry_after_ms = add_jitter(state, refusal.retry_after_ms);
+    set_retry_delay(state, call, &mut refusal);
     refuse(state, call, refusal, output);
 }
 
+/// Sets the time of a caller's turn as the retry delay, or adds jitter to the delay that the refusal
+/// has.
+fn set_retry_delay(
+    state: &mut reducer::EngineState,
+    call: ids::CallId,
+    refusal: &mut wire::CallRefusal,
+) {
+    refusal.retry_after_ms = match returns::appoint(state, call, refusal) {
+        Some(retry_after_ms) => retry_after_ms,
+        None => add_jitter(state, refusal.retry_after_ms),
+    };
+}
+
 /// Applies random jitter to a retry delay, so that callers refused together do not retry together.
 fn add_jitter(state: &mut reducer::EngineState, retry_after_ms: u32) -> u32 {
     let factor = state
@@ -403,7 +430,10 @@
     if !context.is_allowed() {
         return false;
     }
-    let spends_placement = context.is_free_placement && proof == retry::FailureProof::NotAdmitted;
+    // Returning callers come no faster than they are served, which bounds their offers.
+    let is_returning = attributes.precedence == wire::CallPrecedence::Returning;
+    let spends_placement =
+        context.is_free_placement && proof == retry::FailureProof::NotAdmitted && !is_returning;
     if spends_placement {
         let policy = retry::BudgetPolicy::for_placements(tunables);
         let budget = state.retry.placement_budget(&attributes, now);
--- a/crates/engine/src/calls/throttle.rs
+++ b/crates/engine/src/calls/throttle.rs
@@ -35,6 +35,8 @@
     offered: f64,
     /// Offered calls for which no target had capacity.
     without_capacity: f64,
+    /// Arrived calls whose callers returned when they were told to; they are always offered.
+    returned: f64,
     /// When the counts were last decayed.
     decayed_at: time::MonotonicTime,
     /// Smoothed retry delay that targets returned with their refusals.
@@ -50,8 +52,9 @@
         if self.arrived < MIN_CALLS {
             return 0.0;
         }
-        let max_offered = OFFERS_PER_ADMITTED_CALL * self.admitted();
-        (1.0 - max_offered / self.arrived).clamp(0.0, MAX_REFUSED_SHARE)
+        let max_offered = OFFERS_PER_ADMITTED_CALL * self.admitted() - self.returned;
+        let arrived = (self.arrived - self.returned).max(f64::EPSILON);
+        (1.0 - max_offered / arrived).clamp(0.0, MAX_REFUSED_SHARE)
     }
 
     /// Returns the decayed number of offered calls for which a target had capacity.
@@ -77,6 +80,7 @@
         self.arrived *= factor;
         self.offered *= factor;
         self.without_capacity *= factor;
+        self.returned *= factor;
         self.decayed_at = now;
     }
 }
@@ -114,6 +118,21 @@
         }
     }
 
+    /// Counts an arrived call that is offered because its caller returned when it was told to.
+    pub fn record_returning(
+        &mut self,
+        service: &ids::EntryName,
+        route: &ids::EntryName,
+        now: time::MonotonicTime,
+    ) {
+        if let Some(throttle) = self.0.get_mut(&(service.clone(), route.clone())) {
+            throttle.decay(now);
+            throttle.arrived += 1.0;
+            throttle.offered += 1.0;
+            throttle.returned += 1.0;
+        }
+    }
+
     /// Records the refusal of an offered call for which no target had capacity.
     pub fn record_no_capacity(
         &mut self,
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod reducer;
 pub mod replication;
 pub mod retry;
+pub mod returns;
 pub mod rollout;
 pub mod routing;
 pub mod settings;
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -311,6 +311,17 @@
         leaving_placements = 2, 0..=16;
     }
 
+    /// Tunables of the order in which refused callers return.
+    ReturnTunables in returns {
+        /// With 1, a refusal for want of capacity tells the caller when its turn is expected, and
+        /// who returns then goes before new callers of equal rank; with 0, when one target is
+        /// expected to have room.
+        appointments = 0, 0..=1;
+        /// Share of the rate at which a route's calls are answered that returning callers get, in
+        /// percent; new ones get the rest.
+        share_percent = 80, 1..=100;
+    }
+
     /// Tunables of rollouts.
     RolloutTunables in rollout {
         /// Maximum share of a service's calls that a new version gets during its trial, in
--- a/crates/engine/src/signals/limiter.rs
+++ b/crates/engine/src/signals/limiter.rs
@@ -14,6 +14,8 @@
 use hazeltiller_units::{measure, time};
 use indexmap::IndexMap;
 
+use crate::returns::backlog;
+
 /// Lowest rate at which requests are sent: a target that names a limit of zero shows only in a
 /// response that it takes requests again.
 const MIN_RATE: f64 = 0.25;
@@ -35,8 +37,8 @@
     /// Refill rate in tokens per second.
     rate: f64,
     tokens: f64,
-    /// Refused calls that the rate has not yet made up for; their callers were told to retry.
-    deferred: f64,
+    /// Refused calls that the rate has not yet made up for.
+    deferred: backlog::ReturnBacklog,
     updated_at: time::MonotonicTime,
     /// When a response of the target last named the limit.
     confirmed_at: Option<time::MonotonicTime>,
@@ -52,7 +54,7 @@
         Self {
             rate: rate_limit.per_second().max(MIN_RATE),
             tokens: 0.0,
-            deferred: 0.0,
+            deferred: backlog::ReturnBacklog::default(),
             updated_at: now,
             confirmed_at: None,
             sent_at: None,
@@ -116,8 +118,8 @@
     pub fn defer(&mut self, now: time::MonotonicTime) -> Duration {
         self.refill(now);
         let max_deferred = self.rate * MAX_RETRY_DELAY.as_secs_f64();
-        self.deferred = (self.deferred + 1.0).min(max_deferred.max(1.0));
-        Duration::from_secs_f64(self.deferred / self.rate).min(MAX_RETRY_DELAY)
+        self.deferred.add(max_deferred.max(1.0));
+        self.deferred.time_to_drain(self.rate).min(MAX_RETRY_DELAY)
     }
 
     /// Returns the number of tokens that must be there for a call of a class with this rank.
@@ -141,7 +143,7 @@
     fn refill(&mut self, now: time::MonotonicTime) {
         let earned = now.since(self.updated_at).as_secs_f64() * self.rate;
         self.tokens = (self.tokens + earned).min(self.capacity());
-        self.deferred = (self.deferred - earned).max(0.0);
+        self.deferred.drain(earned);
         self.updated_at = now;
     }
 }
--- a/crates/engine/src/timeline.rs
+++ b/crates/engine/src/timeline.rs
@@ -11,7 +11,7 @@
 use hazeltiller_wire::{calls, membership};
 use serde::{Deserialize, Serialize};
 
-use crate::rollout::cohort;
+use crate::{returns, rollout::cohort};
 
 /// State of a member as seen by this process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -324,6 +324,9 @@
         /// Cohort of the target in that rollout.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         cohort: Option<cohort::TargetCohort>,
+        /// `kept` if the caller returned when an earlier refusal told it to.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        turn: Option<returns::CallerTurn>,
     },
     /// An attempt ended without a response of the target.
     CallTryFailed {
@@ -358,6 +361,9 @@
         /// Limit that caused the refusal, if one did.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         limit: Option<String>,
+        /// Whether the retry delay is the caller's turn, or none is left within its time.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        turn: Option<returns::CallerTurn>,
         /// Time since the request arrived, in microseconds.
         took_us: u64,
     },
--- a/crates/engine/tests/overload.rs
+++ b/crates/engine/tests/overload.rs
@@ -52,6 +52,7 @@
     let caller_policy = model::CallerPolicy {
         retries: 2,
         timeout: Some(Duration::from_secs(4)),
+        ..model::CallerPolicy::default()
     };
     let lookups = model::CallKind {
         caller_policy,
--- a/crates/testkit/src/model.rs
+++ b/crates/testkit/src/model.rs
@@ -78,6 +78,8 @@
     /// Time-out over all attempts of the caller, which sends the remaining time as the deadline.
     /// `None` applies the deadline of the route and disables retries.
     pub timeout: Option<Duration>,
+    /// Share of the callers that retry after 10 ms whatever the time that a refusal names.
+    pub impatient_share: f64,
 }
 
 /// Concurrent calls that a run makes.
@@ -165,6 +167,12 @@
     pub arrivals: u64,
     /// Times from arrival to refusal, in microseconds.
     pub refusals: Vec<u64>,
+    /// Requests that were refused again when their callers returned.
+    pub refused_again: u64,
+    /// Requests whose callers were told to return within the time that they wait, and did.
+    pub invited: u64,
+    /// Of these, requests that were refused when their callers returned.
+    pub invited_refused: u64,
     /// Runs started at targets.
     pub runs: u64,
     /// Total time that runs occupied slots.
--- a/crates/testkit/src/model/run.rs
+++ b/crates/testkit/src/model/run.rs
@@ -37,6 +37,8 @@
     /// A run has finished its own work.
     WorkEnded(u64),
     AnswerReceived(u64),
+    /// The process of an ingress node loses what it has learnt.
+    IngressRestarted(usize),
     /// Starts the scheduled fault with this index.
     FaultStarted(usize),
     /// The target of a restarted owner node announces itself again.
@@ -78,6 +80,8 @@
     /// Time of the caller's current attempt.
     sent_at: time::MonotonicTime,
     retries_left: u32,
+    /// Whether the caller returns at the time that a refusal named.
+    is_invited: bool,
     /// Attempt whose run makes this call.
     parent: Option<u64>,
 }
@@ -253,6 +257,7 @@
             ModelEvent::OfferReceived(number) => self.receive_offer(number),
             ModelEvent::WorkEnded(number) => self.end_work(number),
             ModelEvent::AnswerReceived(number) => self.receive_answer(number),
+            ModelEvent::IngressRestarted(ingress) => self.restart_ingress(ingress),
             ModelEvent::FaultStarted(index) => self.start_fault(index),
             ModelEvent::TargetAnnounced(target) => self.announce_again(target),
             ModelEvent::Tick => self.tick(),
--- a/crates/testkit/src/model/run/callers.rs
+++ b/crates/testkit/src/model/run/callers.rs
@@ -29,6 +29,7 @@
             first_sent_at: self.now,
             sent_at: self.now,
             retries_left: self.kind(kind).caller_policy.retries,
+            is_invited: false,
             parent: None,
         };
         self.counts[phase][kind].sent += 1;
@@ -80,15 +81,29 @@
             return;
         }
         call.retries_left -= 1;
-        let wait = retry_after
-            .min(time_left / MAX_RETRY_WAIT_DIVISOR)
-            .max(MIN_RETRY_WAIT);
+        let impatient_share = self.kind(call.kind).caller_policy.impatient_share;
+        let is_impatient = impatient_share > 0.0 && self.random.random_bool(impatient_share);
+        let max_wait = time_left / MAX_RETRY_WAIT_DIVISOR;
+        call.is_invited = !is_impatient && retry_after <= max_wait;
+        let stats = &mut self.counts[call.phase][call.kind];
+        stats.invited += u64::from(call.is_invited);
+        let wait = if is_impatient {
+            MIN_RETRY_WAIT
+        } else {
+            retry_after.min(max_wait).max(MIN_RETRY_WAIT)
+        };
         self.sequence += 1;
         let number = self.sequence;
         self.waiting_retries.insert(number, call);
         self.schedule(wait, ModelEvent::CallRetried(number));
     }
 
+    /// Returns whether a caller has sent its request before.
+    fn is_return(&self, number: u64) -> bool {
+        let call = &self.calls[&number];
+        call.retries_left < self.kind(call.kind).caller_policy.retries
+    }
+
     pub(super) fn reduce_at_ingress(&mut self, call: u64, event: calls::CallEvent) {
         let ingress = self.calls[&call].ingress;
         self.ingresses[ingress].now = self.now;
@@ -100,9 +115,12 @@
                 calls::CallEffect::Refuse(_, refusal) => {
                     let retry_after = Duration::from_millis(u64::from(refusal.retry_after_ms));
                     let refusal_time = self.now.since(self.calls[&call].sent_at);
-                    self.stats(call)
-                        .refusals
-                        .push(refusal_time.as_micros() as u64);
+                    let is_return = self.is_return(call);
+                    let is_invited = self.calls[&call].is_invited;
+                    let stats = self.stats(call);
+                    stats.refusals.push(refusal_time.as_micros() as u64);
+                    stats.refused_again += u64::from(is_return);
+                    stats.invited_refused += u64::from(is_invited);
                     self.finish(call, Err(retry_after));
                 }
                 calls::CallEffect::Run(..)
--- a/crates/testkit/src/model/run/owners.rs
+++ b/crates/testkit/src/model/run/owners.rs
@@ -111,6 +111,7 @@
                 first_sent_at: self.now,
                 sent_at: self.now,
                 retries_left: 0,
+                is_invited: false,
                 parent: Some(number),
             };
             self.counts[phase][inner.kind].sent += 1;
--- a/crates/testkit/src/model/run/target_faults.rs
+++ b/crates/testkit/src/model/run/target_faults.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hazeltiller_engine::{calls, event, signals, timeline};
+use hazeltiller_engine::{calls, event, retry, routing, signals, timeline};
 use hazeltiller_units::ids;
 use hazeltiller_wire::signals as wire;
 
@@ -46,6 +46,23 @@
         }
     }
 
+    /// Restarts an ingress node after a time. Its process loses all that it has learnt from calls,
+    /// and still ends the calls that are under way.
+    pub fn schedule_ingress_restart(&mut self, after: Duration, ingress: usize) {
+        self.schedule(after, ModelEvent::IngressRestarted(ingress));
+    }
+
+    pub(super) fn restart_ingress(&mut self, ingress: usize) {
+        let state = &mut self.ingresses[ingress].state;
+        let under_way = std::mem::take(&mut state.calls.ingress);
+        state.calls = calls::CallState {
+            ingress: under_way,
+            ..calls::CallState::default()
+        };
+        state.retry = retry::RetryState::default();
+        state.routing = routing::RoutingState::default();
+    }
+
     fn restart_owner(&mut self, target: usize) {
         self.lose_attempts(target);
         let entries = self.settings.entries.clone();
