--- a/fuzz/fuzz_targets/headers.rs
+++ b/fuzz/fuzz_targets/headers.rs
@@ -12,6 +12,7 @@
     }
     drop(codec::decode_header::<calls::CallRefusal>(text));
     drop(codec::decode_header::<calls::LoadReport>(text));
+    drop(codec::decode_header::<calls::RoomReport>(text));
     drop(codec::decode_header::<message::HybridTime>(text));
     drop(codec::decode_header::<signals::SignalReport>(text));
 });
