Attempts: an offer without a connection by its deadline has not run

A call whose deadline passed while the connection to the owner node was still being opened was answered 504 with an unknown outcome, although nothing of it had been sent. The pool now opens the connection and sends the request as two steps under the same deadline: the first one's end is "not connected", only the second one's is "timed out".

placement::unsent_not_run: failed before the change (504), passes with it.

--- a/crates/daemon/src/callers/attempt.rs
+++ b/crates/daemon/src/callers/attempt.rs
@@ -39,19 +39,20 @@
     } else {
         prepare_offer(&mut request, plan);
         trace::set_clock(&context.clock, request.headers_mut());
-        let sending = context.nodes.send(plan.candidate.address, request);
-        match time::timeout(time_left + DEADLINE_GRACE, sending).await {
-            Ok(Ok(mut response)) => {
+        let (to, deadline) = (plan.candidate.address, started_at + time_left);
+        let sending = context.nodes.send_before(to, request, deadline + DEADLINE_GRACE);
+        match sending.await {
+            Ok(mut response) => {
                 trace::merge_clock(&context.clock, response.headers_mut());
                 response.map(http::stream_body)
             }
-            Ok(Err(pool::SendError::NotConnected { .. })) => {
+            Err(pool::SendError::NotConnected { .. }) => {
                 return without_report(calls::AttemptResult::NotReached);
             }
-            Ok(Err(pool::SendError::ConnectionLost { .. })) => {
+            Err(pool::SendError::ConnectionLost { .. }) => {
                 return without_report(calls::AttemptResult::Lost);
             }
-            Err(_elapsed) => return without_report(deadline_exceeded()),
+            Err(pool::SendError::TimedOut) => return without_report(deadline_exceeded()),
         }
     };
     let signals = http::take_record(response.headers_mut(), wire_signals::SIGNALS_HEADER);
--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -217,7 +217,7 @@
                 let failed = wire::CallRefusal::unknown(code::ResultCode::TargetFailed);
                 self.refuse(calls::RunResult::Crashed, failed)
             }
-            None => {
+            Some(Err(pool::SendError::TimedOut)) | None => {
                 let timed_out = wire::CallRefusal::unknown(code::ResultCode::DeadlineExceeded);
                 self.refuse(calls::RunResult::TimedOut, timed_out)
             }
--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -24,4 +24,7 @@
         /// The cause.
         source: hyper::Error,
     },
+    /// The deadline passed after the request may have been sent.
+    #[snafu(display("no response before the deadline"))]
+    TimedOut,
 }
--- a/crates/daemon/src/pool/nodes.rs
+++ b/crates/daemon/src/pool/nodes.rs
@@ -175,6 +175,23 @@
         }
     }
 
+    /// Sends a request to a node, dialling it if necessary. A request that has no connection by the
+    /// deadline has not been sent.
+    pub async fn send_before(
+        &self,
+        to: SocketAddr,
+        request: Request<http::StreamBody>,
+        deadline: Instant,
+    ) -> Result<Response<Incoming>, SendError> {
+        let not_connected = |elapsed: time::error::Elapsed| SendError::NotConnected {
+            message: elapsed.to_string(),
+        };
+        let connecting = time::timeout_at(deadline, self.sender(to));
+        connecting.await.map_err(not_connected)??;
+        let sent = time::timeout_at(deadline, self.send(to, request)).await;
+        sent.unwrap_or(Err(SendError::TimedOut))
+    }
+
     /// Sends a request to a node, dialling it if necessary.
     pub async fn send(
         &self,
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -19,6 +19,7 @@
 mod parts;
 mod peers;
 mod pipelining;
+mod placement;
 mod promises;
 mod raw;
 mod reload;
