Placement: a large body waits until its call has a place

Cause: an offer brings its request body along, also to a node that refuses it.

Change: with tunables.placement.far_body_bytes or near_body_bytes (0, off, by default) an ingress node asks the owner node for a place first: the offer goes without its request, under a header of its own that an older build refuses as not run. The owner node refuses it or answers at once with a ticket; the request follows with the ticket, once, within hold_ms.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -33,6 +33,7 @@
 
 mod attempt;
 mod head;
+mod placement;
 mod stored_response;
 
 use crate::{dialect, drain, http, http1, listener, process, replay, trace};
--- a/crates/daemon/src/callers/attempt.rs
+++ b/crates/daemon/src/callers/attempt.rs
@@ -1,13 +1,14 @@
 //! One attempt of a call: run at a local target, or offered to the owner node of the target.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use hazeltiller_engine::{calls, event, signals, timeline};
 use hazeltiller_units::{code, ids};
 use hazeltiller_wire::{calls as wire, signals as wire_signals};
-use hyper::{Request, Response, Uri, body::Body};
+use hyper::{HeaderMap, Request, Response, Uri, body::Body};
 use tokio::time;
 
+use super::placement;
 use crate::{http, owner, pool, process, response_buffer, trace};
 
 /// Extra time after the deadline for the owner node's own refusal to arrive.
@@ -37,22 +38,10 @@
     let mut response = if is_local {
         owner::serve_local(Arc::clone(context), plan.offer.clone(), false, request).await
     } else {
-        prepare_offer(&mut request, plan);
-        trace::set_clock(&context.clock, request.headers_mut());
-        let (to, deadline) = (plan.candidate.address, started_at + time_left);
-        let sending = context.nodes.send_before(to, request, deadline + DEADLINE_GRACE);
-        match sending.await {
-            Ok(mut response) => {
-                trace::merge_clock(&context.clock, response.headers_mut());
-                response.map(http::stream_body)
-            }
-            Err(pool::SendError::NotConnected { .. }) => {
-                return without_report(calls::AttemptResult::NotReached);
-            }
-            Err(pool::SendError::ConnectionLost { .. }) => {
-                return without_report(calls::AttemptResult::Lost);
-            }
-            Err(pool::SendError::TimedOut) => return without_report(deadline_exceeded()),
+        let deadline = started_at + time_left + DEADLINE_GRACE;
+        match offer(context, id, plan, request, deadline).await {
+            Ok(response) => response,
+            Err(result) => return without_report(result),
         }
     };
     let signals = http::take_record(response.headers_mut(), wire_signals::SIGNALS_HEADER);
@@ -112,24 +101,66 @@
     (Err(result), calls::AttemptReport::default())
 }
 
-/// Addresses a request to the owner node and adds the headers of the offer.
-fn prepare_offer(request: &mut Request<http::StreamBody>, plan: &calls::AttemptPlan) {
+/// Offers an attempt to the owner node of its target, and returns the node's response. If the
+/// request has a large body, the node is asked for a place first.
+async fn offer(
+    context: &Arc<process::ProcessContext>,
+    id: &ids::RequestId,
+    plan: &calls::AttemptPlan,
+    mut request: Request<http::StreamBody>,
+    deadline: time::Instant,
+) -> Result<Response<http::StreamBody>, calls::AttemptResult> {
+    let mut place = None;
+    if placement::is_required(context, plan, request.body()) {
+        match placement::ask(context, id, plan, request.headers()).await {
+            placement::PlaceAnswer::Given(ticket) => place = Some(ticket),
+            placement::PlaceAnswer::Refused(response) => return Ok(response),
+            placement::PlaceAnswer::NoAnswer(result) => return Err(result),
+            placement::PlaceAnswer::Unsupported => {}
+        }
+    }
+    address_to(&mut request, plan.candidate.address);
+    let headers = request.headers_mut();
+    if let Some(ticket) = place {
+        headers.remove(wire::CALL_ORGANISATION_HEADER);
+        let value = http::unindexed_value(&ticket);
+        headers.insert(wire::PLACE_TICKET_HEADER, value);
+    } else {
+        set_offer(headers, wire::OFFER_HEADER, plan);
+    }
+    trace::set_clock(&context.clock, headers);
+    let to = plan.candidate.address;
+    let mut response = match context.nodes.send_before(to, request, deadline).await {
+        Ok(response) => response,
+        Err(pool::SendError::NotConnected { .. }) => return Err(calls::AttemptResult::NotReached),
+        Err(pool::SendError::ConnectionLost { .. }) => return Err(calls::AttemptResult::Lost),
+        Err(pool::SendError::TimedOut) => return Err(deadline_exceeded()),
+    };
+    trace::merge_clock(&context.clock, response.headers_mut());
+    Ok(response.map(http::stream_body))
+}
+
+/// Addresses a request to another node.
+pub(super) fn address_to(request: &mut Request<http::StreamBody>, node: SocketAddr) {
     let path = request.uri().path_and_query().cloned();
     *request.uri_mut() = Uri::builder()
         .scheme("http")
-        .authority(plan.candidate.address.to_string())
+        .authority(node.to_string())
         .path_and_query(path.unwrap_or_else(|| "/".parse().expect("\"/\" is a valid path")))
         .build()
         .expect("an address and a parsed path form a URI");
     *request.version_mut() = hyper::Version::HTTP_2;
+}
+
+/// Adds the headers of an attempt's offer, with its varying part under `name`.
+pub(super) fn set_offer(headers: &mut HeaderMap, name: &'static str, plan: &calls::AttemptPlan) {
     let (terms, attempt) = plan.offer.clone().split();
     let sent = wire::SentOffer {
         sent_ms: trace::boot_time().as_millis() as u64,
         attempt,
     };
-    let headers = request.headers_mut();
     headers.insert(wire::OFFER_TERMS_HEADER, http::header_value(&terms));
-    headers.insert(wire::OFFER_HEADER, http::unindexed_value(&sent));
+    headers.insert(name, http::unindexed_value(&sent));
     if plan.offer.precedence != wire::CallPrecedence::default() {
         let value = http::header_value(&plan.offer.precedence);
         headers.insert(wire::PRECEDENCE_HEADER, value);
--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -30,46 +30,78 @@
     time::{self, Instant},
 };
 
+mod places;
+
 use crate::{dialect, engine_actor, http, pool, process, response_buffer, trace};
 
+pub use places::PlaceTable;
+
 /// Time allowed to read the rest of a declined response so that its connection can be reused. The
 /// connection is closed afterwards.
 const DECLINED_BODY_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Serves a call offered by another node.
+/// Serves a call offered by another node, or a request for whose call this node keeps a place.
 pub async fn serve_offer(
     context: Arc<process::ProcessContext>,
     transit: &Mutex<transit::TransitMeter>,
     mut request: Request<Incoming>,
 ) -> Response<http::StreamBody> {
     let headers = request.headers_mut();
-    let terms = http::take_record(headers, wire::OFFER_TERMS_HEADER);
-    let sent = http::take_record(headers, wire::OFFER_HEADER);
+    trace::merge_clock(&context.clock, headers);
+    let clock = context.clock.clone();
+    let ticket = http::take_record(headers, wire::PLACE_TICKET_HEADER);
+    let mut response = if let Some(ticket) = ticket {
+        let request = request.map(http::stream_body);
+        places::serve(&context, ticket, request).await
+    } else {
+        let asked = http::take_record(headers, wire::PLACE_OFFER_HEADER);
+        let sent = http::take_record(headers, wire::OFFER_HEADER);
+        match (asked, sent) {
+            (Some(asked), _) => match receive_call(&context, transit, headers, asked) {
+                Some(call) => places::keep(&context, call).await,
+                None => invalid_offer(),
+            },
+            (None, Some(sent)) => match receive_call(&context, transit, headers, sent) {
+                Some(call) => call.serve(request.map(http::stream_body)).await,
+                None => invalid_offer(),
+            },
+            (None, None) => invalid_offer(),
+        }
+    };
+    trace::set_clock(&clock, response.headers_mut());
+    response
+}
+
+/// Reads an offer by another node and tells the engine; `None` if it is invalid.
+fn receive_call(
+    context: &Arc<process::ProcessContext>,
+    transit: &Mutex<transit::TransitMeter>,
+    headers: &mut HeaderMap,
+    sent: wire::SentOffer,
+) -> Option<OfferedCall> {
+    let terms = http::take_record(headers, wire::OFFER_TERMS_HEADER)?;
     let precedence = http::take_record(headers, wire::PRECEDENCE_HEADER);
-    let offer = terms.zip(sent).map(|(terms, sent)| wire::CallOffer {
+    let offer = wire::CallOffer {
         precedence: precedence.unwrap_or_default(),
         ..receive_offer(transit, terms, sent)
-    });
-    trace::merge_clock(&context.clock, request.headers_mut());
-    let report = http::take_record(request.headers_mut(), wire_signals::SIGNALS_HEADER);
-    let Some(offer) = offer else {
-        return offer_refusal(&not_run(code::ResultCode::MessageInvalid));
     };
+    let report = http::take_record(headers, wire_signals::SIGNALS_HEADER);
     if let Some(report) = report {
         let received = signals::ReceivedReport {
             target: offer.target.clone(),
             report,
-            request: request_id(&context, request.headers()),
+            request: request_id(context, headers),
             source: timeline::SignalSource::IngressNode,
         };
         let reported = signals::SignalEvent::Reported(received);
         context.engine.tell(event::Event::Signals(reported));
     }
-    let clock = context.clock.clone();
-    let request = request.map(http::stream_body);
-    let mut response = serve_local(context, offer, report.is_some(), request).await;
-    trace::set_clock(&clock, response.headers_mut());
-    response
+    let call = OfferedCall::open(context, offer, report.is_some(), headers);
+    Some(call)
+}
+
+fn invalid_offer() -> Response<http::StreamBody> {
+    offer_refusal(&not_run(code::ResultCode::MessageInvalid))
 }
 
 /// Joins the terms and the attempt to an offer, and deducts the measured transit time from its
@@ -86,54 +118,96 @@
     offer
 }
 
-/// Serves an offered call. The response carries the target's load, its signals or the refusal in
-/// headers. `is_reported` tells whether the sender of the offer knew of signals, and is to learn if
-/// the target sends them no more.
+/// Serves a call that this node offers to itself. The response carries the target's load, its signals
+/// or the refusal in headers. `is_reported` tells whether the sender of the offer knew of signals,
+/// and is to learn if the target sends them no more.
 pub async fn serve_local(
     context: Arc<process::ProcessContext>,
     offer: wire::CallOffer,
     is_reported: bool,
     mut request: Request<http::StreamBody>,
 ) -> Response<http::StreamBody> {
-    let call = context.next_call_id();
-    let id = request_id(&context, request.headers());
-    let organisation = request.headers_mut().remove(wire::CALL_ORGANISATION_HEADER);
-    let organisation = organisation.and_then(|name| name.to_str().ok()?.parse().ok());
-    let metadata = dialect::AttemptMetadata {
-        target: offer.target.clone(),
-        request: id.clone(),
-        deadline_left: Duration::ZERO,
-        attempt: offer.attempt,
-        caller: offer.caller.clone(),
-        organisation,
-    };
-    let fingerprint = offer.fingerprint;
-    let time_left = Duration::from_millis(u64::from(offer.deadline_left_ms));
-    let deadline = Instant::now() + time_left;
-    let mut effects = context
-        .engine
-        .open_call(call, id, calls::CallEvent::Offered { call, offer });
-    let guard = RunGuard {
-        context: Arc::clone(&context),
-        call,
-        result: calls::RunResult::CallerGone,
-    };
-    match effects.recv().await {
-        Some(calls::CallEffect::Run(_, mut plan)) => {
-            plan.is_signalling |= is_reported;
-            let run = TargetRun {
-                guard,
-                plan,
-                deadline,
-                metadata,
-                fingerprint,
-                effects,
-                report: None,
-            };
-            run.send(request).await
+    let call = OfferedCall::open(&context, offer, is_reported, request.headers_mut());
+    call.serve(request).await
+}
+
+/// A call offered to this node, from the engine's first event on.
+struct OfferedCall {
+    guard: RunGuard,
+    /// Effects of the call from the engine.
+    effects: engine_actor::CallEffects,
+    /// The first effect, if it has been received.
+    decision: Option<calls::CallEffect>,
+    deadline: Instant,
+    metadata: dialect::AttemptMetadata,
+    fingerprint: Option<ledger::RequestDigest>,
+    is_reported: bool,
+}
+
+impl OfferedCall {
+    /// Tells the engine of an offer. Removes the headers of the offer that are not the target's.
+    fn open(
+        context: &Arc<process::ProcessContext>,
+        offer: wire::CallOffer,
+        is_reported: bool,
+        headers: &mut HeaderMap,
+    ) -> Self {
+        let call = context.next_call_id();
+        let id = request_id(context, headers);
+        let organisation = headers.remove(wire::CALL_ORGANISATION_HEADER);
+        let organisation = organisation.and_then(|name| name.to_str().ok()?.parse().ok());
+        let metadata = dialect::AttemptMetadata {
+            target: offer.target.clone(),
+            request: id.clone(),
+            deadline_left: Duration::ZERO,
+            attempt: offer.attempt,
+            caller: offer.caller.clone(),
+            organisation,
+        };
+        let fingerprint = offer.fingerprint;
+        let time_left = Duration::from_millis(u64::from(offer.deadline_left_ms));
+        let deadline = Instant::now() + time_left;
+        let offered = calls::CallEvent::Offered { call, offer };
+        let effects = context.engine.open_call(call, id, offered);
+        let guard = RunGuard {
+            context: Arc::clone(context),
+            call,
+            result: calls::RunResult::CallerGone,
+        };
+        Self {
+            guard,
+            effects,
+            decision: None,
+            deadline,
+            metadata,
+            fingerprint,
+            is_reported,
+        }
+    }
+
+    /// Runs the call once it has a slot, unless it is refused.
+    async fn serve(mut self, request: Request<http::StreamBody>) -> Response<http::StreamBody> {
+        let decision = match self.decision.take() {
+            Some(decision) => Some(decision),
+            None => self.effects.recv().await,
+        };
+        match decision {
+            Some(calls::CallEffect::Run(_, mut plan)) => {
+                plan.is_signalling |= self.is_reported;
+                let run = TargetRun {
+                    guard: self.guard,
+                    plan,
+                    deadline: self.deadline,
+                    metadata: self.metadata,
+                    fingerprint: self.fingerprint,
+                    effects: self.effects,
+                    report: None,
+                };
+                run.send(request).await
+            }
+            Some(calls::CallEffect::Refuse(_, refusal)) => offer_refusal(&refusal),
+            _ => offer_refusal(&not_run(code::ResultCode::NodeStopping)),
         }
-        Some(calls::CallEffect::Refuse(_, refusal)) => offer_refusal(&refusal),
-        _ => offer_refusal(&not_run(code::ResultCode::NodeStopping)),
     }
 }
 
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -12,8 +12,8 @@
 
 use hazeltiller_catalogue::{change, state as catalogue_state};
 use hazeltiller_engine::{
-    calls::transit, event, ledger, reducer, replication, settings as engine_settings,
-    timeline as engine_timeline,
+    calls::transit, event, ledger, reducer, replication, routing::placement,
+    settings as engine_settings, timeline as engine_timeline,
 };
 use hazeltiller_store::{claims as store_claims, error as store_error, file as store_file};
 use hazeltiller_units::{code, ids, time as unit_time};
@@ -27,8 +27,8 @@
 
 use crate::{
     byte_counts, callers, claims_task, critical_tasks, dialect, drain, engine_actor, handshake,
-    links, metrics, observer, operators, peers, pool, probe, readiness, settings, store_task,
-    targets, timeline, trace,
+    links, metrics, observer, operators, owner, peers, pool, probe, readiness, settings,
+    store_task, targets, timeline, trace,
 };
 
 /// Interval of the tick events that drive the timers of the reducer.
@@ -96,6 +96,12 @@
     pub caller: Option<ids::EntryName>,
     /// Lease of a target whose announcement names none, in milliseconds.
     pub default_lease_ms: u64,
+    /// Bounds of the calls that ask for a place before their request is sent.
+    pub placement_tunables: engine_settings::PlacementTunables,
+    /// Time that other nodes take to answer such calls.
+    pub answer_times: placement::AnswerTimeTable,
+    /// Places that this node keeps for such calls.
+    pub places: owner::PlaceTable,
     /// Limits and timeouts of requests.
     pub request_tunables: engine_settings::RequestTunables,
     /// Maximum size of a stored response to a claimed request, in bytes.
@@ -348,6 +354,9 @@
         dialects: options.dialects,
         caller: settings.caller_service.clone(),
         default_lease_ms: settings.tunables.membership.lease_ms,
+        placement_tunables: settings.tunables.placement.clone(),
+        answer_times: placement::AnswerTimeTable::default(),
+        places: owner::PlaceTable::default(),
         request_tunables: settings.tunables.requests.clone(),
         max_stored_response_bytes: settings.tunables.ledger.answer_bytes,
         drain: drain::DrainState::default(),
--- a/crates/engine/src/routing.rs
+++ b/crates/engine/src/routing.rs
@@ -19,6 +19,7 @@
 pub mod index;
 pub mod mean_load;
 pub mod offer;
+pub mod placement;
 pub mod size;
 pub mod split;
 pub mod table;
@@ -45,6 +46,8 @@
     pub instance: ids::InstanceName,
     /// Peer address of the owner node.
     pub address: SocketAddr,
+    /// Distance of the owner node's data centre.
+    pub distance: table::TargetDistance,
     /// Longest queue wait at the target for which no other compared target is better; `None` if
     /// there is no alternative.
     pub max_queue_wait: Option<Duration>,
@@ -185,6 +188,7 @@
         target: target.target.clone(),
         instance: target.instance.clone(),
         address: target.address,
+        distance: target.distance,
         max_queue_wait: selection.max_queue_wait,
         shortest_run_time: selection.shortest_run_time,
     })
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -242,6 +242,23 @@
         far_kilobyte_ms = 15, 0..=1000;
     }
 
+    /// Tunables of placement.
+    PlacementTunables in placement {
+        /// Smallest body of a request to a target in another data centre, in bytes, that is sent
+        /// only after the target's node has admitted the call, so that refusals cost no bodies; 0
+        /// sends every body with the offer. Bodies of unknown length are always sent with it.
+        far_body_bytes = 0, 0..=4_194_304;
+        /// The same for targets of other nodes in the own data centre, where it costs a round trip
+        /// more and keeps the links of busy nodes free.
+        near_body_bytes = 0, 0..=4_194_304;
+        /// Longest time that a node waits for the answer to such an offer before it goes on to
+        /// another target, in milliseconds; less if the other node's answers usually take less.
+        answer_ms = 150, 10..=10_000;
+        /// Time for which a target's node keeps a place for an admitted call whose request has not
+        /// arrived, in milliseconds.
+        hold_ms = 300, 10..=10_000;
+    }
+
     /// Tunables of health.
     HealthTunables in health {
         /// Consecutive failures that make a target unhealthy; also the minimum number of failures
--- a/crates/engine/src/timeline.rs
+++ b/crates/engine/src/timeline.rs
@@ -325,6 +325,15 @@
         #[serde(default, skip_serializing_if = "Option::is_none")]
         cohort: Option<cohort::TargetCohort>,
     },
+    /// The owner node of a target did not answer in time whether it has a place for a call.
+    PlaceUnanswered {
+        /// Id of the request.
+        request: ids::RequestId,
+        /// Peer address of the owner node.
+        node: SocketAddr,
+        /// Time since the question, in microseconds.
+        took_us: u64,
+    },
     /// An attempt ended without a response of the target.
     CallTryFailed {
         /// Id of the request.
@@ -471,6 +480,7 @@
         match self {
             Self::CallArrived { request, .. }
             | Self::CallTried { request, .. }
+            | Self::PlaceUnanswered { request, .. }
             | Self::CallTryFailed { request, .. }
             | Self::CallAnswered { request, .. }
             | Self::CallRefused { request, .. }
@@ -500,6 +510,7 @@
                 | Self::LinkLost { .. }
                 | Self::TargetEjected { .. }
                 | Self::RequestQuarantined { .. }
+                | Self::PlaceUnanswered { .. }
                 | Self::CallTryFailed { .. }
                 | Self::CallRefused { .. }
                 | Self::RunFailed { .. }
--- a/crates/wire/src/calls.rs
+++ b/crates/wire/src/calls.rs
@@ -47,6 +47,13 @@
 /// Header with the [`CallPrecedence`] of an offer, if it is not that of a new call; used between
 /// nodes only.
 pub const PRECEDENCE_HEADER: &str = "hz-p";
+/// Header with the [`SentOffer`] of a call whose request stays at the ingress node until the owner
+/// node has admitted the call. A build that does not know the header finds no offer, and refuses the
+/// call as not run.
+pub const PLACE_OFFER_HEADER: &str = "hz-q";
+/// Header with the [`PlaceTicket`] of an admitted call: in the response to such an offer, and in
+/// place of an offer in the request that follows it.
+pub const PLACE_TICKET_HEADER: &str = "hz-k";
 /// Header with the name of the organisation that a call belongs to; used between nodes only.
 pub const CALL_ORGANISATION_HEADER: &str = "hz-g";
 /// Header with the name of the organisation that a request belongs to, for its target.
@@ -248,6 +255,16 @@
     New,
 }
 
+/// Entitles one request to the place that an owner node keeps for its call. A ticket of an earlier
+/// incarnation of the node, or of a call that has been started or given up, entitles to nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct PlaceTicket {
+    /// Incarnation of the owner node.
+    pub incarnation: ids::IncarnationNumber,
+    /// Identifier of the call within that process.
+    pub call: ids::CallId,
+}
+
 /// The part of an offer that is the same for all calls of a route.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OfferTerms {
--- a/tests/all/placement.rs
+++ b/tests/all/placement.rs
@@ -4,10 +4,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hazeltiller_standin::target;
-use hazeltiller_testkit::{fleet, proxy, wait};
+use hazeltiller_daemon::{handshake, http, pool};
+use hazeltiller_standin::{behaviour, client, target};
+use hazeltiller_testkit::{fleet, node, proxy, wait};
+use hazeltiller_wire::{calls, handshake as wire_handshake};
 use http_body_util::Full;
-use hyper::{Request, Response, StatusCode};
+use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming};
+use serde_json::{Value, json};
 
 use crate::support;
 
@@ -16,12 +19,17 @@
 
 /// Starts a control, an ingress node and an owner node with a target, and waits until the ingress
 /// node knows the target. It has not opened a connection for calls.
-async fn start_pair() -> (fleet::Fleet, target::StandInTarget) {
+///
+/// `placement` are the nodes' tunables of that group.
+async fn start_pair(placement: Value) -> (fleet::Fleet, target::StandInTarget) {
     let mut fleet = fleet::Fleet::new(support::DAEMON);
     fleet.add_controls("brasov-a", &["control-1"]).await;
     for node in ["node-1", "node-2"] {
         fleet.add_node("brasov-a", node).await;
     }
+    for node in ["node-1", "node-2"] {
+        fleet.instance(node).settings["tunables"] = json!({"placement": placement});
+    }
     fleet.start(&["control-1"], &["--bootstrap"]).await;
     fleet.start(&["node-1", "node-2"], &[]).await;
     support::apply_first_change(&fleet).await;
@@ -68,9 +76,121 @@
 /// target's node is still being opened: nothing of it has been sent.
 #[tokio::test(flavor = "multi_thread")]
 async fn unsent_not_run() {
-    let (fleet, _target) = start_pair().await;
+    let (fleet, _target) = start_pair(json!({})).await;
     // A connection is accepted, but the handshake on it is never answered.
     fleet.set_pair_rule("node-1", "node-2", proxy::FaultRule::Silent);
     let response = send_issue(&fleet, "x", Duration::from_millis(100)).await;
     assert_not_run(&response);
 }
+
+/// Guards against the answer 502 or 504 to a request with a body whose offer stays unanswered on a
+/// link that has become silent: it is refused as not run, long before its deadline.
+#[tokio::test(flavor = "multi_thread")]
+async fn unanswered_not_run() {
+    let (fleet, target) = start_pair(json!({"near_body_bytes": 1024})).await;
+    let deadline = Duration::from_secs(10);
+    let response = send_issue(&fleet, vec![b'x'; 4096], deadline).await;
+    assert_eq!(response.status(), StatusCode::OK, "{response:?}");
+    fleet.set_pair_rule("node-1", "node-2", proxy::FaultRule::Silent);
+    let response = send_issue(&fleet, vec![b'x'; 4096], deadline).await;
+    assert_not_run(&response);
+    let runs = target.runs().len();
+    assert_eq!(runs, 1, "only the first request ran");
+    wait_for_metric(
+        &fleet,
+        "node-1",
+        "hazeltiller_places_total{answer=\"none\"} 1",
+    )
+    .await;
+}
+
+/// The body of a call that the target's node refuses is never sent: a link that breaks after a part
+/// of it does not make the outcome unknown.
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_body_withheld() {
+    let (mut fleet, target) = start_pair(json!({"near_body_bytes": 1024})).await;
+    let change = json!({"change_id": "full", "expects": 1, "put": [
+        {"kind": "service", "name": "registru", "owner": "registru", "class": "counter",
+         "limits": {"slots": 1, "queue": 0}}]});
+    let changed = fleet.change("control-1", &change).await;
+    assert!(matches!(changed, Some((200, _))), "{changed:?}");
+    fleet.wait_version(&["node-1", "node-2"], 2).await;
+    let slow = behaviour::StandInBehaviour {
+        latency_ms: 5000,
+        ..target.behaviour()
+    };
+    target.set_behaviour(slow);
+    let owner_callers = fleet.instance("node-2").addresses["callers"];
+    let occupying = Request::get("/vehicles/1").body(Full::<Bytes>::default());
+    let occupying = occupying.expect("a valid request");
+    tokio::spawn(client::exchange(owner_callers, occupying));
+    wait_for_metric(&fleet, "node-2", "hazeltiller_running{target=\"far\"} 1").await;
+    fleet.set_pair_rule("node-1", "node-2", proxy::FaultRule::CutAfter(20_000));
+    let response = send_issue(&fleet, vec![b'x'; 60_000], Duration::from_secs(3)).await;
+    assert_not_run(&response);
+    wait_for_metric(
+        &fleet,
+        "node-1",
+        "hazeltiller_places_total{answer=\"refused\"} 1",
+    )
+    .await;
+}
+
+/// Sends a request to the owner node as an ingress node would. Returns the response's head.
+async fn send_to_owner(
+    pool: &pool::NodePool,
+    fleet: &mut fleet::Fleet,
+    headers: HeaderMap,
+) -> Response<Incoming> {
+    let to = fleet.instance("node-2").addresses["peers"];
+    let mut request = Request::post(format!("http://{to}/certificates/1"))
+        .body(http::full_body("x"))
+        .expect("a valid request");
+    request.headers_mut().extend(headers);
+    pool.send(to, request)
+        .await
+        .expect("the owner node answers")
+}
+
+/// Asks the owner node for a place, and returns the header with the ticket.
+async fn ask_for_place(pool: &pool::NodePool, fleet: &mut fleet::Fleet) -> HeaderMap {
+    let (terms, attempt) = node::offer("far", "registru", "counter").split();
+    let sent = calls::SentOffer {
+        sent_ms: 0,
+        attempt,
+    };
+    let mut headers = HeaderMap::new();
+    headers.insert(calls::OFFER_TERMS_HEADER, http::header_value(&terms));
+    headers.insert(calls::PLACE_OFFER_HEADER, http::header_value(&sent));
+    let response = send_to_owner(pool, fleet, headers).await;
+    let ticket = response.headers().get(calls::PLACE_TICKET_HEADER);
+    let ticket = ticket.expect("the target has a free slot");
+    HeaderMap::from_iter([(
+        calls::PLACE_TICKET_HEADER.parse().expect("a header name"),
+        ticket.clone(),
+    )])
+}
+
+/// A ticket runs one request, and none after its place was given up: a request that is sent twice,
+/// or arrives late, does not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn ticket_used_once() {
+    let (mut fleet, target) = start_pair(json!({"hold_ms": 200})).await;
+    let pool = pool::NodePool::new(handshake::LinkCredentials {
+        identity: node::identity("node-3", "brasov-a", "ro-centru"),
+        key: wire_handshake::GroupKey::new(Vec::new()),
+    });
+    let ticket = ask_for_place(&pool, &mut fleet).await;
+    let response = send_to_owner(&pool, &mut fleet, ticket.clone()).await;
+    assert_eq!(response.status(), StatusCode::OK);
+    let late_ticket = ask_for_place(&pool, &mut fleet).await;
+    let unused = "hazeltiller_kept_places_total{result=\"unused\"} 1";
+    wait_for_metric(&fleet, "node-2", unused).await;
+    for stale_ticket in [ticket, late_ticket] {
+        let mut response = send_to_owner(&pool, &mut fleet, stale_ticket).await;
+        let refusal = http::take_record(response.headers_mut(), calls::REFUSAL_HEADER);
+        let refusal: calls::CallRefusal = refusal.expect("the request is refused");
+        assert_eq!(refusal.outcome, calls::CallOutcome::NotRun);
+    }
+    assert_eq!(target.runs().len(), 1);
+}
