Placement: places freed at once, and a node that stays silent is asked before every call

An ingress node that gave a question up left the place behind, if the ticket was under way, for the whole of hold_ms: an idle slot under just the load that the feature is for. The response with the ticket now stays open while the place is needed; the ingress node drops it, or the connection breaks, and the owner node frees the place.

With the feature on, every call to a node that left the latest offer unanswered asks first, until it answers.

--- a/crates/daemon/src/callers/attempt.rs
+++ b/crates/daemon/src/callers/attempt.rs
@@ -113,7 +113,7 @@
     let mut place = None;
     if placement::is_required(context, plan, request.body()) {
         match placement::ask(context, id, plan, request.headers()).await {
-            placement::PlaceAnswer::Given(ticket) => place = Some(ticket),
+            placement::PlaceAnswer::Given(held) => place = Some(held),
             placement::PlaceAnswer::Refused(response) => return Ok(response),
             placement::PlaceAnswer::NoAnswer(result) => return Err(result),
             placement::PlaceAnswer::Unsupported => {}
@@ -121,23 +121,28 @@
     }
     address_to(&mut request, plan.candidate.address);
     let headers = request.headers_mut();
-    if let Some(ticket) = place {
+    if let Some(held) = &place {
         headers.remove(wire::CALL_ORGANISATION_HEADER);
-        let value = http::unindexed_value(&ticket);
+        let value = http::unindexed_value(&held.ticket);
         headers.insert(wire::PLACE_TICKET_HEADER, value);
     } else {
         set_offer(headers, wire::OFFER_HEADER, plan);
     }
     trace::set_clock(&context.clock, headers);
     let to = plan.candidate.address;
-    let mut response = match context.nodes.send_before(to, request, deadline).await {
-        Ok(response) => response,
+    let sent = context.nodes.send_before(to, request, deadline).await;
+    drop(place);
+    let result = match sent {
+        Ok(mut response) => {
+            trace::merge_clock(&context.clock, response.headers_mut());
+            return Ok(response.map(http::stream_body));
+        }
         Err(pool::SendError::NotConnected { .. }) => return Err(calls::AttemptResult::NotReached),
-        Err(pool::SendError::ConnectionLost { .. }) => return Err(calls::AttemptResult::Lost),
-        Err(pool::SendError::TimedOut) => return Err(deadline_exceeded()),
+        Err(pool::SendError::ConnectionLost { .. }) => calls::AttemptResult::Lost,
+        Err(pool::SendError::TimedOut) => deadline_exceeded(),
     };
-    trace::merge_clock(&context.clock, response.headers_mut());
-    Ok(response.map(http::stream_body))
+    context.answer_times.record(to, None);
+    Err(result)
 }
 
 /// Addresses a request to another node.
--- a/crates/daemon/src/callers/placement.rs
+++ b/crates/daemon/src/callers/placement.rs
@@ -15,10 +15,17 @@
 use super::attempt;
 use crate::{http, pool, process, trace};
 
+/// A place at a target. The owner node frees it on drop unless the request has taken it.
+pub struct HeldPlace {
+    /// Ticket that the request takes the place with.
+    pub ticket: wire::PlaceTicket,
+    _response: Response<http::StreamBody>,
+}
+
 /// Answer of an owner node that a place was asked for.
 pub enum PlaceAnswer {
-    /// The target has a place for the call.
-    Given(wire::PlaceTicket),
+    /// The target has a place for the call, for as long as this is held.
+    Given(HeldPlace),
     /// The owner node refused the call.
     Refused(Response<http::StreamBody>),
     /// The owner node runs a build that gives no places: the call is offered with its request.
@@ -34,8 +41,9 @@
     body: &impl hyper::body::Body,
 ) -> bool {
     let body_bytes = body.size_hint().lower();
-    let distance = plan.candidate.distance;
-    placement::asks_first(&context.placement_tunables, distance, body_bytes)
+    let tunables = &context.placement_tunables;
+    let times = context.answer_times.of_node(plan.candidate.address);
+    placement::asks_first(tunables, plan.candidate.distance, body_bytes, times)
 }
 
 /// Asks the owner node of an attempt's target for a place.
@@ -117,7 +125,10 @@
     let headers = response.headers_mut();
     trace::merge_clock(&context.clock, headers);
     if let Some(ticket) = http::take_record(headers, wire::PLACE_TICKET_HEADER) {
-        return PlaceAnswer::Given(ticket);
+        return PlaceAnswer::Given(HeldPlace {
+            ticket,
+            _response: response,
+        });
     }
     let refusal = headers.get(wire::REFUSAL_HEADER);
     let refusal = refusal.and_then(|value| {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -97,7 +97,7 @@
     retries: counter "hazeltiller_retries_total" ["service"];
     /// Places asked for at targets' nodes before a request was sent there, by answer: given, refused, none (in time) or unsupported.
     places: counter "hazeltiller_places_total" ["answer"];
-    /// Places that this node kept for admitted calls, by what became of them: taken or unused.
+    /// Places that this node kept for admitted calls, by what became of them: taken, unused (in time) or released (by the other node).
     kept_places: counter "hazeltiller_kept_places_total" ["result"];
     /// Second tries that the budget of a service still allows.
     retry_budget: gauge "hazeltiller_retry_budget" ["service"];
--- a/crates/daemon/src/owner/places.rs
+++ b/crates/daemon/src/owner/places.rs
@@ -1,19 +1,26 @@
 //! Places that this node keeps for admitted calls whose requests are still at their ingress nodes.
 //!
 //! A call with a place waits in its target's queue or holds a slot. The request that brings the
-//! ticket takes the place, once; a place that no request takes in time is given up, and its call
-//! never runs.
+//! ticket takes the place, once; a place that no request takes in time, or that the ingress node gives
+//! up, is free again, and its call never runs.
 
 use std::{
     fmt,
+    pin::Pin,
     sync::{Arc, Mutex},
+    task::{Context, Poll},
     time::Duration,
 };
 
+use bytes::Bytes;
 use hazeltiller_engine::calls;
 use hazeltiller_units::{code, ids};
 use hazeltiller_wire::calls as wire;
-use hyper::{Request, Response};
+use http_body_util::BodyExt;
+use hyper::{
+    Request, Response,
+    body::{Body, Frame},
+};
 use indexmap::IndexMap;
 use tokio::{sync::mpsc, time};
 
@@ -65,19 +72,53 @@
     };
     context.places.insert(call);
     tokio::spawn(expire(Arc::clone(context), ticket.call));
-    let mut response = Response::new(http::full_body(""));
+    let body = PlaceBody {
+        context: Arc::clone(context),
+        call: ticket.call,
+    };
+    let mut response = Response::new(body.boxed_unsync());
     let value = http::unindexed_value(&ticket);
     let headers = response.headers_mut();
     headers.insert(wire::PLACE_TICKET_HEADER, value);
     response
 }
 
+/// Body of the response with a ticket. It has no end: the ingress node drops the response when it
+/// needs the place no more, and a connection that breaks drops it as well.
+struct PlaceBody {
+    context: Arc<process::ProcessContext>,
+    call: ids::CallId,
+}
+
+impl Body for PlaceBody {
+    type Data = Bytes;
+    type Error = http::BodyError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        _cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        Poll::Pending
+    }
+}
+
+impl Drop for PlaceBody {
+    fn drop(&mut self) {
+        give_up(&self.context, self.call, "released");
+    }
+}
+
 /// Gives up the place of a call if no request has taken it in time.
 async fn expire(context: Arc<process::ProcessContext>, call: ids::CallId) {
     time::sleep(Duration::from_millis(context.placement_tunables.hold_ms)).await;
+    give_up(&context, call, "unused");
+}
+
+/// Frees the place of a call if it is still kept.
+fn give_up(context: &process::ProcessContext, call: ids::CallId, result: &str) {
     if context.places.take(call).is_some() {
         let kept_places = &context.metrics.kept_places;
-        kept_places.with_label_values(&["unused"]).inc();
+        kept_places.with_label_values(&[result]).inc();
     }
 }
 
--- a/crates/engine/src/routing/placement.rs
+++ b/crates/engine/src/routing/placement.rs
@@ -20,15 +20,17 @@
 const ALLOWED_DEVIATIONS: f64 = 4.0;
 /// Shortest time to wait for an answer: a small node may be busy for this long.
 const MIN_ANSWER_TIME: Duration = Duration::from_millis(30);
-/// Unanswered questions in a row after which a node counts as unreachable.
-const MAX_SILENT_QUESTIONS: u32 = 3;
+/// Unanswered offers in a row after which a node counts as unreachable.
+const MAX_SILENCES: u32 = 3;
 
 /// Returns whether a call with a request body of this size asks for a place before it is sent to a
-/// target at this distance.
+/// target at this distance. Every call does while the owner node has left the latest offer
+/// unanswered.
 pub fn asks_first(
     tunables: &settings::PlacementTunables,
     distance: table::TargetDistance,
     body_bytes: u64,
+    times: AnswerTimes,
 ) -> bool {
     let min_body_bytes = match distance {
         table::TargetDistance::SameDataCentre => tunables.near_body_bytes,
@@ -36,7 +38,7 @@
             tunables.far_body_bytes
         }
     };
-    min_body_bytes > 0 && body_bytes >= min_body_bytes
+    min_body_bytes > 0 && (body_bytes >= min_body_bytes || times.silences > 0)
 }
 
 /// Round trips of the questions to one node.
@@ -44,15 +46,15 @@
 pub struct AnswerTimes {
     /// Smoothed round trip and its mean deviation, in seconds; `None` before the first answer.
     round_trip: Option<(f64, f64)>,
-    /// Unanswered questions since the last answer.
-    silent_questions: u32,
+    /// Questions and other offers without an answer since the last answer to a question.
+    silences: u32,
 }
 
 impl AnswerTimes {
     /// Records an answer and the time that it took.
     pub fn record_answer(&mut self, took: Duration) {
         let sample_s = took.as_secs_f64();
-        self.silent_questions = 0;
+        self.silences = 0;
         self.round_trip = Some(match self.round_trip {
             None => (sample_s, sample_s / 2.0),
             Some((mean_s, deviation_s)) => {
@@ -65,25 +67,25 @@
         });
     }
 
-    /// Records a question that was not answered in time.
+    /// Records a question, or an offer with its request, that was not answered in time.
     pub fn record_silence(&mut self) {
-        self.silent_questions += 1;
+        self.silences = self.silences.saturating_add(1);
     }
 
-    /// Returns whether the node has left so many questions in a row unanswered that it counts as
+    /// Returns whether the node has left so many offers in a row unanswered that it counts as
     /// unreachable.
     pub fn is_unreachable(&self) -> bool {
-        self.silent_questions >= MAX_SILENT_QUESTIONS
+        self.silences >= MAX_SILENCES
     }
 
-    /// Returns the time to wait for the next answer, at most `max_time`. Each question without an
+    /// Returns the time to wait for the next answer, at most `max_time`. Each offer without an
     /// answer doubles it, so that a link that has become slower is measured anew.
     pub fn answer_time(&self, max_time: Duration) -> Duration {
         let Some((mean_s, deviation_s)) = self.round_trip else {
             return max_time;
         };
         let usual_s = mean_s + ALLOWED_DEVIATIONS * deviation_s;
-        let doublings = self.silent_questions.min(MAX_SILENT_QUESTIONS);
+        let doublings = self.silences.min(MAX_SILENCES);
         let allowed_s = usual_s.max(MIN_ANSWER_TIME.as_secs_f64()) * f64::from(1 << doublings);
         Duration::from_secs_f64(allowed_s).min(max_time)
     }
@@ -100,7 +102,7 @@
         times.get(&address).copied().unwrap_or_default()
     }
 
-    /// Records an answer of a node, or with `None` that it did not answer in time. Returns the
+    /// Records a node's answer to a question, or with `None` that it did not answer an offer in time. Returns the
     /// node's round trips.
     pub fn record(&self, address: SocketAddr, took: Option<Duration>) -> AnswerTimes {
         let mut all_times = self.0.lock().expect("no holder of the lock panics");
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -246,7 +246,8 @@
     PlacementTunables in placement {
         /// Smallest body of a request to a target in another data centre, in bytes, that is sent
         /// only after the target's node has admitted the call, so that refusals cost no bodies; 0
-        /// sends every body with the offer. Bodies of unknown length are always sent with it.
+        /// sends every request with the offer. With more, a node that has left an offer unanswered
+        /// is asked before any request is sent to it.
         far_body_bytes = 0, 0..=4_194_304;
         /// The same for targets of other nodes in the own data centre, where it costs a round trip
         /// more and keeps the links of busy nodes free.
--- a/crates/engine/tests/placement.rs
+++ b/crates/engine/tests/placement.rs
@@ -12,9 +12,12 @@
 #[test]
 fn asks_by_size() {
     let mut tunables = settings::PlacementTunables::default();
+    let known = placement::AnswerTimes::default();
+    let mut silent = known;
+    silent.record_silence();
     for distance in table::TargetDistance::ALL {
         assert!(
-            !placement::asks_first(&tunables, distance, u64::MAX),
+            !placement::asks_first(&tunables, distance, u64::MAX, silent),
             "off by default"
         );
     }
@@ -26,12 +29,17 @@
         (table::TargetDistance::Remote, 4096, true),
     ];
     for (distance, body_bytes, expected) in rows {
-        let asks_first = placement::asks_first(&tunables, distance, body_bytes);
+        let asks_first = placement::asks_first(&tunables, distance, body_bytes, known);
         assert_eq!(asks_first, expected, "{distance:?} {body_bytes}");
     }
+    let [near, far, _] = table::TargetDistance::ALL;
+    assert!(
+        placement::asks_first(&tunables, far, 0, silent),
+        "every call asks a node that has not answered"
+    );
+    assert!(!placement::asks_first(&tunables, near, 0, silent));
     tunables.near_body_bytes = 4096;
-    let distance = table::TargetDistance::SameDataCentre;
-    assert!(placement::asks_first(&tunables, distance, 4096));
+    assert!(placement::asks_first(&tunables, near, 4096, known));
 }
 
 /// A question on a link that has become congested is given up long before the call's deadline.
--- a/tests/all/placement.rs
+++ b/tests/all/placement.rs
@@ -152,8 +152,12 @@
         .expect("the owner node answers")
 }
 
-/// Asks the owner node for a place, and returns the header with the ticket.
-async fn ask_for_place(pool: &pool::NodePool, fleet: &mut fleet::Fleet) -> HeaderMap {
+/// Asks the owner node for a place. Returns the response, which keeps the place, and the header with
+/// its ticket.
+async fn ask_for_place(
+    pool: &pool::NodePool,
+    fleet: &mut fleet::Fleet,
+) -> (Response<Incoming>, HeaderMap) {
     let (terms, attempt) = node::offer("far", "registru", "counter").split();
     let sent = calls::SentOffer {
         sent_ms: 0,
@@ -164,29 +168,32 @@
     headers.insert(calls::PLACE_OFFER_HEADER, http::header_value(&sent));
     let response = send_to_owner(pool, fleet, headers).await;
     let ticket = response.headers().get(calls::PLACE_TICKET_HEADER);
-    let ticket = ticket.expect("the target has a free slot");
-    HeaderMap::from_iter([(
-        calls::PLACE_TICKET_HEADER.parse().expect("a header name"),
-        ticket.clone(),
-    )])
+    let ticket = ticket.expect("the target has a free slot").clone();
+    let mut headers = HeaderMap::new();
+    headers.insert(calls::PLACE_TICKET_HEADER, ticket);
+    (response, headers)
 }
 
 /// A ticket runs one request, and none after its place was given up: a request that is sent twice,
 /// or arrives late, does not run.
 #[tokio::test(flavor = "multi_thread")]
 async fn ticket_used_once() {
-    let (mut fleet, target) = start_pair(json!({"hold_ms": 200})).await;
+    let (mut fleet, target) = start_pair(json!({"hold_ms": 1000})).await;
     let pool = pool::NodePool::new(handshake::LinkCredentials {
         identity: node::identity("node-3", "brasov-a", "ro-centru"),
         key: wire_handshake::GroupKey::new(Vec::new()),
     });
-    let ticket = ask_for_place(&pool, &mut fleet).await;
-    let response = send_to_owner(&pool, &mut fleet, ticket.clone()).await;
+    let (_kept, used) = ask_for_place(&pool, &mut fleet).await;
+    let response = send_to_owner(&pool, &mut fleet, used.clone()).await;
     assert_eq!(response.status(), StatusCode::OK);
-    let late_ticket = ask_for_place(&pool, &mut fleet).await;
+    let (_kept, late) = ask_for_place(&pool, &mut fleet).await;
     let unused = "hazeltiller_kept_places_total{result=\"unused\"} 1";
     wait_for_metric(&fleet, "node-2", unused).await;
-    for stale_ticket in [ticket, late_ticket] {
+    let (kept, released) = ask_for_place(&pool, &mut fleet).await;
+    drop(kept);
+    let line = "hazeltiller_kept_places_total{result=\"released\"} 1";
+    wait_for_metric(&fleet, "node-2", line).await;
+    for stale_ticket in [used, late, released] {
         let mut response = send_to_owner(&pool, &mut fleet, stale_ticket).await;
         let refusal = http::take_record(response.headers_mut(), calls::REFUSAL_HEADER);
         let refusal: calls::CallRefusal = refusal.expect("the request is refused");
