Dependencies: a test of the report between processes

nested_reported in tests/all: a stand-in's runs call a second service through their node; its owner node recognises the calls and reports it in the response header, and the first node's metrics name the route.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod crashing;
 mod decoders;
 mod demo;
+mod dependencies;
 mod drain;
 mod examples;
 mod failing_disk;
