Attempts: an idempotent request leaves a node that has become silent

Cause: an idempotent request that was sent to a node behind a broken or congested link waited until its deadline, or until the connection was closed after 1.8 s, and had no time left for the second attempt that its retry budget would have paid for.

Change: with tunables.placement.check_ms (0, off, by default) a node that has not responded for that long is sent an empty request, which every build refuses at once. A node that answers is waited for as before, so that slow runs are not cut off; from one that does not within as long again the attempt is lost, and the retry policy decides.

--- a/crates/daemon/src/callers/attempt.rs
+++ b/crates/daemon/src/callers/attempt.rs
@@ -130,16 +130,23 @@
     }
     trace::set_clock(&context.clock, headers);
     let to = plan.candidate.address;
-    let sent = context.nodes.send_before(to, request, deadline).await;
+    let sending = context.nodes.send_before(to, request, deadline);
+    let sent = if plan.offer.is_idempotent {
+        placement::watch(context, to, sending).await
+    } else {
+        Some(sending.await)
+    };
     drop(place);
     let result = match sent {
-        Ok(mut response) => {
+        Some(Ok(mut response)) => {
             trace::merge_clock(&context.clock, response.headers_mut());
             return Ok(response.map(http::stream_body));
         }
-        Err(pool::SendError::NotConnected { .. }) => return Err(calls::AttemptResult::NotReached),
-        Err(pool::SendError::ConnectionLost { .. }) => calls::AttemptResult::Lost,
-        Err(pool::SendError::TimedOut) => deadline_exceeded(),
+        Some(Err(pool::SendError::NotConnected { .. })) => {
+            return Err(calls::AttemptResult::NotReached);
+        }
+        Some(Err(pool::SendError::ConnectionLost { .. })) | None => calls::AttemptResult::Lost,
+        Some(Err(pool::SendError::TimedOut)) => deadline_exceeded(),
     };
     context.answer_times.record(to, None);
     Err(result)
--- a/crates/daemon/src/callers/placement.rs
+++ b/crates/daemon/src/callers/placement.rs
@@ -3,8 +3,11 @@
 //! The question carries the offer without the request. The owner node refuses it, or admits the
 //! call and answers with a ticket, which the request then carries. Until the request is sent with
 //! the ticket the call cannot run, whatever becomes of the question and its answer.
+//!
+//! An idempotent request that has been sent is watched, so that a node that has become silent leaves
+//! time for another attempt.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use hazeltiller_engine::{calls, routing::placement, timeline};
 use hazeltiller_units::{code, ids};
@@ -99,6 +102,49 @@
     }
 }
 
+/// Waits for the response to an idempotent request, and checks at intervals that the node still
+/// answers. Returns `None` if it does not.
+pub async fn watch<T>(
+    context: &process::ProcessContext,
+    to: SocketAddr,
+    sending: impl Future<Output = T>,
+) -> Option<T> {
+    let check_time = Duration::from_millis(context.placement_tunables.check_ms);
+    if check_time.is_zero() {
+        return Some(sending.await);
+    }
+    let mut sending = std::pin::pin!(sending);
+    loop {
+        if let Ok(sent) = time::timeout(check_time, sending.as_mut()).await {
+            return Some(sent);
+        }
+        tokio::select! {
+            sent = sending.as_mut() => return Some(sent),
+            has_answered = has_answered(context, to, check_time) => {
+                if !has_answered {
+                    return None;
+                }
+            }
+        }
+    }
+}
+
+/// Returns whether a node answers a request without an offer, which every build refuses at once.
+async fn has_answered(
+    context: &process::ProcessContext,
+    to: SocketAddr,
+    max_time: Duration,
+) -> bool {
+    let mut request = Request::new(http::full_body(""));
+    attempt::address_to(&mut request, to);
+    let deadline = time::Instant::now() + max_time;
+    let answer = context.nodes.send_before(to, request, deadline).await;
+    let result = if answer.is_ok() { "answered" } else { "silent" };
+    let node_checks = &context.metrics.node_checks;
+    node_checks.with_label_values(&[result]).inc();
+    answer.is_ok()
+}
+
 /// Returns the offer of an attempt without its request.
 fn question(
     context: &process::ProcessContext,
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -99,6 +99,8 @@
     places: counter "hazeltiller_places_total" ["answer"];
     /// Places that this node kept for admitted calls, by what became of them: taken, unused (in time) or released (by the other node).
     kept_places: counter "hazeltiller_kept_places_total" ["result"];
+    /// Checks of nodes that had not responded to an idempotent request for a while, by result: answered or silent.
+    node_checks: counter "hazeltiller_node_checks_total" ["result"];
     /// Second tries that the budget of a service still allows.
     retry_budget: gauge "hazeltiller_retry_budget" ["service"];
     /// Runs at own targets, by how they ended.
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -258,6 +258,11 @@
         /// Time for which a target's node keeps a place for an admitted call whose request has not
         /// arrived, in milliseconds.
         hold_ms = 300, 10..=10_000;
+        /// Time after which a target's node that has not responded to an idempotent request is
+        /// asked whether it still answers, in milliseconds; if it does not within as long again,
+        /// the attempt counts as lost while there is time for another. 0 waits until the deadline
+        /// or the end of the connection.
+        check_ms = 0, 0..=10_000;
     }
 
     /// Tunables of health.
--- a/tests/all/placement.rs
+++ b/tests/all/placement.rs
@@ -41,14 +41,18 @@
 /// Waits until a line stands in the metrics of an instance.
 async fn wait_for_metric(fleet: &fleet::Fleet, name: &str, line: &str) {
     wait::until(line, || async {
-        let request = Request::get("/metrics").body(Full::default()).ok()?;
-        let response = fleet.send_request(name, "operators", request).await?;
-        let text = String::from_utf8_lossy(response.body()).into_owned();
+        let text = metrics(fleet, name).await?;
         text.lines().any(|known| known == line).then_some(())
     })
     .await;
 }
 
+async fn metrics(fleet: &fleet::Fleet, name: &str) -> Option<String> {
+    let request = Request::get("/metrics").body(Full::default()).ok()?;
+    let response = fleet.send_request(name, "operators", request).await?;
+    Some(String::from_utf8_lossy(response.body()).into_owned())
+}
+
 /// Sends a request that must not run twice to the ingress node.
 async fn send_issue(
     fleet: &fleet::Fleet,
@@ -136,6 +140,33 @@
     .await;
 }
 
+/// Guards against idempotent requests that wait for a silent node until their deadline, although
+/// another node could have served them in time.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_node_left() {
+    let (mut fleet, _target) = start_pair(json!({"check_ms": 300})).await;
+    fleet.add_node("brasov-a", "node-3").await;
+    fleet.start(&["node-3"], &[]).await;
+    fleet.wait_version(&["node-3"], 1).await;
+    let _other = support::start_stand_in(&mut fleet, "node-3", "other").await;
+    let line = KNOWN_TARGET_METRIC.replace(" 1", " 2");
+    wait_for_metric(&fleet, "node-1", &line).await;
+    let lookup = async || {
+        // Less than the time after which a silent connection is closed.
+        let request = Request::get("/vehicles/1").header("hazeltiller-deadline-ms", 1700);
+        let request = request.body(Full::default()).expect("a valid request");
+        let response = fleet.send_request("node-1", "callers", request).await;
+        response.expect("the ingress node answers").status()
+    };
+    futures_util::future::join_all((0..8).map(|_| lookup())).await;
+    fleet.set_pair_rule("node-1", "node-2", proxy::FaultRule::Silent);
+    let statuses = futures_util::future::join_all((0..4).map(|_| lookup())).await;
+    assert_eq!(statuses, [StatusCode::OK; 4]);
+    let line = "hazeltiller_node_checks_total{result=\"silent\"}";
+    let text = metrics(&fleet, "node-1").await.unwrap_or_default();
+    assert!(text.contains(line), "a request was sent to the silent node");
+}
+
 /// Sends a request to the owner node as an ingress node would. Returns the response's head.
 async fn send_to_owner(
     pool: &pool::NodePool,
