--- a/crates/engine/tests/returns.rs
+++ b/crates/engine/tests/returns.rs
@@ -9,16 +9,17 @@
 use hazeltiller_wire::calls as wire;
 use serde_json::{Value, json};
 
-/// Duration of the phases at normal load.
-const NORMAL_TIME: Duration = Duration::from_secs(6);
-/// Duration of the burst.
-const BURST_TIME: Duration = Duration::from_secs(3);
-/// Time after the burst within which calm must return.
-const CALM_TIME: Duration = Duration::from_secs(2);
 /// Requests per second that the targets can run.
 const CAPACITY: f64 = 450.0;
-/// Load relative to the capacity before, in and after the burst.
+/// Load relative to the capacity before, in and after the burst, and after calm must have returned.
 const LOADS: [f64; 4] = [0.8, 2.5, 0.8, 0.8];
+/// Durations of these phases.
+const PHASE_TIMES: [Duration; 4] = [
+    Duration::from_secs(6),
+    Duration::from_secs(3),
+    Duration::from_secs(2),
+    Duration::from_secs(6),
+];
 /// Target latency and time limit of lookups and of issues.
 const TIMES_MS: [(u64, u64); 2] = [(500, 1500), (800, 2000)];
 /// Ingress nodes of a model, each with a small share of the load.
@@ -88,126 +89,80 @@
     model.with_processors(Duration::from_millis(2))
 }
 
-/// Sums over some seeds of what callers got in each phase.
-struct BurstResult {
-    phases: Vec<Vec<model::KindStats>>,
+/// What callers got in one phase.
+#[derive(Debug, Clone, Copy, Default)]
+struct PhaseResult {
+    sent: f64,
+    answered: f64,
+    /// Requests answered within their target latency.
+    in_time: f64,
+    refusals: f64,
+    refused_twice: f64,
+    /// Callers that returned when they were told to, and those of them that were refused again.
+    returned: f64,
+    broken: f64,
 }
 
-impl BurstResult {
-    fn run(appointments: u64) -> Self {
-        let runs = (1..=4).map(|seed| Self::run_model(&mut model(seed, appointments)));
-        let phases = runs.reduce(|mut sum, run| {
-            for (kinds, other_kinds) in sum.iter_mut().zip(run) {
-                for (stats, other) in kinds.iter_mut().zip(other_kinds) {
-                    stats.sent += other.sent;
-                    stats.good += other.good;
-                    stats.refused_again += other.refused_again;
-                    stats.invited += other.invited;
-                    stats.invited_refused += other.invited_refused;
-                    stats.refusals.extend(other.refusals);
-                    stats.latencies.extend(other.latencies);
-                }
-            }
-            sum
-        });
-        let result = Self {
-            phases: phases.expect("there are seeds"),
-        };
-        println!("appointments {appointments}: {}", result.summary());
-        result
-    }
-
-    fn run_model(model: &mut model::CallModel) -> Vec<Vec<model::KindStats>> {
-        let spans = [NORMAL_TIME, BURST_TIME, CALM_TIME, NORMAL_TIME];
-        let phases = LOADS.map(kinds).into_iter().zip(spans);
-        model.run_phases(phases.collect())
-    }
-
-    fn sum(&self, phase: usize, part: fn(&model::KindStats) -> u64) -> f64 {
-        self.phases[phase].iter().map(part).sum::<u64>() as f64
-    }
-
-    /// Returns the number of requests answered within their target latency per offered load.
-    fn in_time(&self, phase: usize) -> f64 {
-        let kinds = self.phases[phase].iter().zip(TIMES_MS);
-        let in_time =
-            kinds.map(|(stats, (latency, _))| stats.count_within(Duration::from_millis(latency)));
-        in_time.sum::<usize>() as f64
-    }
-
-    /// Returns the refusals for each request that was answered in a phase.
-    fn refusals_per_answer(&self, phase: usize) -> f64 {
-        self.sum(phase, |stats| stats.refusals.len() as u64) / self.sum(phase, |stats| stats.good)
-    }
-
-    /// Returns the share of requests that were refused twice.
-    fn refused_again(&self, phase: usize) -> f64 {
-        self.sum(phase, |stats| stats.refused_again) / self.sum(phase, |stats| stats.sent)
+impl PhaseResult {
+    fn add(&mut self, kinds: &[model::KindStats]) {
+        for (stats, (latency_ms, _)) in kinds.iter().zip(TIMES_MS) {
+            self.sent += stats.sent as f64;
+            self.answered += stats.good as f64;
+            self.in_time += stats.count_within(Duration::from_millis(latency_ms)) as f64;
+            self.refusals += stats.refusals.len() as f64;
+            self.refused_twice += stats.refused_again as f64;
+            self.returned += stats.invited as f64;
+            self.broken += stats.invited_refused as f64;
+        }
     }
+}
 
-    /// Returns the share of the callers refused again among those that returned as told.
-    fn broken_share(&self, phase: usize) -> f64 {
-        self.sum(phase, |stats| stats.invited_refused) / self.sum(phase, |stats| stats.invited)
-    }
+fn run_burst(model: &mut model::CallModel) -> Vec<Vec<model::KindStats>> {
+    let phases = LOADS.map(kinds).into_iter().zip(PHASE_TIMES);
+    model.run_phases(phases.collect())
+}
 
-    fn summary(&self) -> String {
-        let phases = (0..LOADS.len()).map(|phase| {
-            format!(
-                "in time {} of {}, refusals per answer {:.3}, refused twice {:.3}, refused again \
-                 as told {:.3} of {}; ",
-                self.in_time(phase),
-                self.sum(phase, |stats| stats.sent),
-                self.refusals_per_answer(phase),
-                self.refused_again(phase),
-                self.broken_share(phase),
-                self.sum(phase, |stats| stats.invited),
-            )
-        });
-        phases.collect()
+/// Returns the sums over some seeds for each phase.
+fn burst_results(appointments: u64) -> [PhaseResult; 4] {
+    let mut results = [PhaseResult::default(); 4];
+    for seed in 1..=4 {
+        let phases = run_burst(&mut model(seed, appointments));
+        for (result, kinds) in results.iter_mut().zip(phases) {
+            result.add(&kinds);
+        }
     }
+    println!("appointments {appointments}: {results:#?}");
+    results
 }
 
 /// Most callers that return when they were told to are served, also in the burst. Fewer are refused
-/// twice, and fewer refusals are made for each answer, than without appointments.
+/// twice, and fewer refusals are made for each answer, than without appointments. As many answers as
+/// before are in time in the burst, and nothing is left of it two seconds later.
 #[test]
 fn turns_kept() {
-    let result = BurstResult::run(1);
-    let without = BurstResult::run(0);
-    assert!(result.sum(1, |stats| stats.invited) > 1000.0);
-    assert!(result.broken_share(1) <= 0.2, "{}", result.summary());
-    for phase in [1, 2] {
-        let summary = result.summary();
-        assert!(
-            result.refused_again(phase) <= without.refused_again(phase),
-            "{summary}"
-        );
-        assert!(
-            result.refusals_per_answer(phase) <= without.refusals_per_answer(phase),
-            "{summary}"
-        );
+    let [before, burst, decline, after] = burst_results(1);
+    let [_, other_burst, other_decline, _] = burst_results(0);
+    assert!(burst.returned > 1000.0 && burst.broken <= 0.2 * burst.returned);
+    for (result, other) in [(burst, other_burst), (decline, other_decline)] {
+        assert!(result.refused_twice / result.sent <= other.refused_twice / other.sent);
+        assert!(result.refusals / result.answered <= other.refusals / other.answered);
     }
-    // As many answers as before are in time in the burst, and nothing is left of it after it.
-    let per_second = |phase, span: Duration| result.in_time(phase) / span.as_secs_f64();
-    let before = per_second(0, NORMAL_TIME);
-    assert!(per_second(1, BURST_TIME) >= before, "{}", result.summary());
-    assert!(
-        per_second(3, NORMAL_TIME) >= 0.95 * before,
-        "{}",
-        result.summary()
-    );
-    assert!(result.refused_again(3) <= 0.02, "{}", result.summary());
+    let [before_time, burst_time, _, _] = PHASE_TIMES.map(|span| span.as_secs_f64());
+    assert!(burst.in_time / burst_time >= before.in_time / before_time);
+    assert!(after.in_time / after.sent >= 0.95 * before.in_time / before.sent);
+    assert!(after.refused_twice <= 0.02 * after.sent);
 }
 
 /// A node that restarts in the burst forgets whom it told to return. Its callers are served like
 /// those of the others, and the returns to the others are not bunched.
 #[test]
 fn restart_in_burst() {
-    let restart_at = NORMAL_TIME + BURST_TIME / 2;
+    let restart_at = PHASE_TIMES[0] + PHASE_TIMES[1] / 2;
     let after = Duration::from_secs(1);
     for seed in 1..=3 {
         let mut model = model(seed, 1);
         model.schedule_ingress_restart(restart_at, 0);
-        BurstResult::run_model(&mut model);
+        run_burst(&mut model);
         let restarted = time::MonotonicTime::default() + restart_at;
         let recent = |arrival: &&model::TargetArrival| {
             arrival.at >= restarted && arrival.at < restarted + after
