--- a/crates/engine/tests/dependencies.rs
+++ b/crates/engine/tests/dependencies.rs
@@ -51,6 +51,7 @@
     let caller_policy = model::CallerPolicy {
         retries: 1,
         timeout: Some(Duration::from_secs(3)),
+        ..model::CallerPolicy::default()
     };
     let lookups = model::CallKind {
         caller_policy,
