Returns: a node that has seen no answer yet gives one turn

The line of a fresh process has no rate, so every caller was told that no turn is left until the first answer. An empty backlog now takes no time.

--- a/crates/engine/src/returns/backlog.rs
+++ b/crates/engine/src/returns/backlog.rs
@@ -19,6 +19,10 @@
 
     /// Returns the time in which a rate, in callers per second, makes up for all callers.
     pub fn time_to_drain(self, rate: f64) -> Duration {
-        Duration::try_from_secs_f64(self.0 / rate).unwrap_or(Duration::MAX)
+        if self.0 > 0.0 {
+            Duration::try_from_secs_f64(self.0 / rate).unwrap_or(Duration::MAX)
+        } else {
+            Duration::ZERO
+        }
     }
 }
--- a/crates/engine/tests/returns.rs
+++ b/crates/engine/tests/returns.rs
@@ -222,6 +222,15 @@
     assert_eq!(line.appoint(ALL_RETURNING, request(now), now), None);
 }
 
+/// A node that has seen no answer yet tells one caller to return.
+#[test]
+fn first_turn_given() {
+    let now = time::MonotonicTime::default();
+    let mut line = line::ReturnLine::new(now);
+    assert!(line.appoint(ALL_RETURNING, request(now), now).is_some());
+    assert_eq!(line.appoint(ALL_RETURNING, request(now), now), None);
+}
+
 /// A caller is recognised by its deadline, once, when its time has come.
 #[test]
 fn return_recognised() {
