--- a/crates/engine/src/calls/ingress.rs
+++ b/crates/engine/src/calls/ingress.rs
@@ -327,7 +327,7 @@
 
 /// Returns whether the placement budget would pay for another offer of a call. If it would not, a
 /// call that its target turns away for its queue wait is refused, although it might have been served
-/// there in time.
+/// there in time. Callers that return on time search for room without that budget.
 fn may_place_again(state: &mut reducer::EngineState, call: ids::CallId) -> bool {
     let tunables = &state.settings.tunables.retry;
     if tunables.funded_patience == 0 {
@@ -336,6 +336,9 @@
     let Some(record) = state.calls.ingress.get(&call) else {
         return false;
     };
+    if record.attributes.precedence == wire::CallPrecedence::Returning {
+        return true;
+    }
     let policy = retry::BudgetPolicy::for_placements(tunables);
     let budget = state.retry.placement_budget(&record.attributes, state.now);
     budget.available(&policy, state.now) >= 1.0
