Useful work: late calls leave a busy target to calls in time

Cause: a queue that is kept short is often empty for a moment, and a call past its target latency then took the slot, while calls that could still be answered in time were being turned away.

Change: overdue_calm_ms asks that the target has turned no call in time away for that time. Test overdue_yields.

--- a/crates/engine/src/admission.rs
+++ b/crates/engine/src/admission.rs
@@ -57,6 +57,8 @@
     pub estimate: estimate::TargetEstimate,
     /// Whether the queue is a standing queue.
     standing: standing::StandingDetector,
+    /// When a call was last turned away that could still be answered within its target latency.
+    turned_away_at: Option<time::MonotonicTime>,
 }
 
 impl TargetAdmission {
@@ -78,6 +80,13 @@
         Duration::from_secs_f64(ahead_s) + next_slot
     }
 
+    /// Returns whether a call that could still be answered within its target latency was turned away
+    /// less than `calm_time` ago.
+    fn turned_away_lately(&self, calm_time: Duration, now: time::MonotonicTime) -> bool {
+        self.turned_away_at
+            .is_some_and(|at| now.since(at) < calm_time)
+    }
+
     /// Updates the standing-queue detector with whether the queue is empty.
     fn update_standing(&mut self, now: time::MonotonicTime) {
         self.standing.record(!self.queue.is_empty(), now);
@@ -341,6 +350,7 @@
     let is_held = latency::is_held_to_latency(state, offer);
     let is_overdue = latency::is_overdue(state, offer);
     let max_class_wait = max_queue_time(state, offer);
+    let calm_time = settings::millis(state.settings.tunables.admission.overdue_calm_ms);
     let now = state.now;
     state.signals.record_call(&offer.target, params.rank, now);
     let admission = state
@@ -353,7 +363,8 @@
         .signals
         .limit_wait(&offer.target, params.rank, ahead, now);
     let is_open = limit_wait.is_zero() && (!is_lowest || admission.admits_lowest(slots, now));
-    if admission.running < slots && admission.queue.is_empty() && is_open {
+    let yields = is_overdue && admission.turned_away_lately(calm_time, now);
+    if admission.running < slots && admission.queue.is_empty() && is_open && !yields {
         admission.running += 1;
         admission.running_lowest += u32::from(is_lowest);
         admission.queue.charge(&params, offer.cost);
@@ -403,9 +414,14 @@
     if wait + run_time > left {
         return AdmissionDecision::Refuse(refusal::deadline_refusal(state, offer, wait));
     }
-    let is_late =
-        wait > admissible_wait || run_time > useful_time || is_overdue && is_queue_occupied;
+    let is_late = wait > admissible_wait
+        || run_time > useful_time
+        || yields
+        || is_overdue && is_queue_occupied;
     if is_late || wait > patience {
+        if !is_overdue {
+            admission.turned_away_at = Some(now);
+        }
         // The call would be admitted once the queue has shrunk by the excess wait.
         let excess = wait.saturating_sub(admissible_wait);
         return AdmissionDecision::Refuse(refusal::latency_refusal(
--- a/crates/engine/src/admission/latency.rs
+++ b/crates/engine/src/admission/latency.rs
@@ -17,7 +17,8 @@
 //! out of reach, because its caller was refused elsewhere or every target is slow. Its response
 //! still has some value, so it gets a slot that no other call wants, or the next one if no other
 //! call waits. If it took a slot while others wait, one of those would become late in turn, and so
-//! on for as long as the overload lasts.
+//! on for as long as the overload lasts. A queue that is kept short is often empty for a moment, so
+//! the settings can ask that the target has turned no other call away for a while.
 
 use std::time::Duration;
 
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -291,6 +291,10 @@
         /// Whether calls of every class are held to the target latency of their route; with 0 only
         /// calls of the lowest-priority class are, and others wait until their deadline.
         latency_for_all = 0, 0..=1;
+        /// Time for which a target must not have turned away a call that could still be answered
+        /// within its target latency before it runs one that cannot, in milliseconds; with 0 a free
+        /// slot and an empty queue suffice.
+        overdue_calm_ms = 0, 0..=60_000;
     }
 
     /// Tunables of the calls that runs make.
--- a/crates/engine/tests/useful_work.rs
+++ b/crates/engine/tests/useful_work.rs
@@ -121,3 +121,75 @@
     assert_eq!(offer(1, 0).patience_ms, u32::MAX);
     assert!(offer(0, 0).patience_ms < u32::MAX, "switched off");
 }
+
+/// An owner node with one target of one slot, whose runs are known to take 100 ms.
+struct OwnerNode {
+    node: node::NodeReducer,
+    last_call: u64,
+}
+
+impl OwnerNode {
+    const RUN_TIME: Duration = Duration::from_millis(100);
+
+    fn new(overdue_calm_ms: u64) -> Self {
+        let mut node = node::NodeReducer::new("node-1", "brasov-a", &entries(1));
+        let tunables = &mut node.state.settings.tunables.admission;
+        tunables.latency_for_all = 1;
+        tunables.overdue_calm_ms = overdue_calm_ms;
+        node.announce(node::target("registru-1", "registru", 1));
+        let mut owner_node = Self { node, last_call: 0 };
+        for _ in 0..5 {
+            assert!(owner_node.offer(300).is_none(), "the target is idle");
+            owner_node.end_run(owner_node.last_call);
+        }
+        owner_node
+    }
+
+    /// Offers an issue with a rest of its target latency; returns the refusal, if it is refused.
+    fn offer(&mut self, latency_left_ms: u32) -> Option<wire::CallRefusal> {
+        self.last_call += 1;
+        let call = ids::CallId(self.last_call);
+        let offer = wire::CallOffer {
+            route: "issue".parse().expect("it is a name"),
+            deadline_left_ms: 1200,
+            latency_left_ms,
+            ..node::offer("registru-1", "registru", "urgent")
+        };
+        let effects = self.node.call(calls::CallEvent::Offered { call, offer });
+        effects.into_iter().find_map(|effect| match effect {
+            calls::CallEffect::Refuse(refused, refusal) if refused == call => Some(refusal),
+            _ => None,
+        })
+    }
+
+    fn end_run(&mut self, call: u64) {
+        self.node.now = self.node.now + Self::RUN_TIME;
+        self.node.call(calls::CallEvent::RunEnded {
+            call: ids::CallId(call),
+            result: calls::RunResult::Done { status: 200 },
+        });
+    }
+
+    /// Offers calls until one is turned away, and ends the runs of the others.
+    fn overload(&mut self) {
+        let first = self.last_call + 1;
+        while self.offer(300).is_none() {}
+        (first..self.last_call).for_each(|call| self.end_run(call));
+    }
+}
+
+/// A call that can only be answered late takes no slot that another call was just refused.
+#[test]
+fn overdue_yields() {
+    let mut owner_node = OwnerNode::new(500);
+    owner_node.overload();
+    assert!(owner_node.offer(0).is_some(), "another was just refused");
+    assert!(owner_node.offer(300).is_none(), "a call in time runs");
+    owner_node.end_run(owner_node.last_call);
+    owner_node.node.now = owner_node.node.now + Duration::from_millis(500);
+    assert!(owner_node.offer(0).is_none(), "the target has been calm");
+
+    let mut owner_node = OwnerNode::new(0);
+    owner_node.overload();
+    assert!(owner_node.offer(0).is_none(), "switched off");
+}
