Attempts: a key is taken off by the catalogue in force when the request is sent

Cause: whether keys are taken off was decided when the head was read, before the node held a catalogue; the body came after the catalogue, so the request was matched to its organisation and passed on with the key. Ruled out: offers with a ticket, which carry the same headers.

Change: make_attempt takes the key off as well, by the catalogue in force then, which is at least that by which the request was matched. organisations::keys_required_midway brings it about with a body that waits for a catalogue with organisations: red before (the target sees the key), green after.

--- a/crates/daemon/src/callers/attempt.rs
+++ b/crates/daemon/src/callers/attempt.rs
@@ -26,6 +26,10 @@
     body: http::StreamBody,
 ) -> (AttemptResponse, calls::AttemptReport) {
     let mut request = Request::from_parts(parts, body);
+    if plan.organisation.is_some() || context.in_force.borrow().requires_keys() {
+        // The catalogue may have required no keys yet when the head was read.
+        context.dialects.calls.strip_api_key(request.headers_mut());
+    }
     if let Some(organisation) = &plan.organisation {
         let name = organisation.as_str().parse();
         let name = name.expect("an entry name is a valid header value");
--- a/tests/all/organisations.rs
+++ b/tests/all/organisations.rs
@@ -11,7 +11,10 @@
 };
 use hyper_util::rt;
 use serde_json::{Value, json};
-use tokio::net::TcpListener;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
 
 use crate::support;
 
@@ -69,8 +72,13 @@
     assert_eq!(announced.status(), StatusCode::OK);
 }
 
-/// A fleet of two nodes, of which the second has the target.
+/// A fleet of two nodes, of which the second has the target, with organisations in the catalogue.
 async fn start_fleet() -> fleet::Fleet {
+    start_fleet_with(&entries()).await
+}
+
+/// A fleet of two nodes, of which the second has the target, with these entries beside the usual ones.
+async fn start_fleet_with(entries: &Value) -> fleet::Fleet {
     let mut fleet = fleet::Fleet::new(support::DAEMON);
     fleet.add_controls("brasov-a", &["control-1"]).await;
     fleet.add_node("brasov-a", "node-1").await;
@@ -84,7 +92,7 @@
     let put = first["put"]
         .as_array_mut()
         .expect("the change puts entries");
-    put.extend(entries().as_array().into_iter().flatten().cloned());
+    put.extend(entries.as_array().into_iter().flatten().cloned());
     apply(&fleet, &first).await;
     fleet.wait_version(&["node-1", "node-2"], 1).await;
     announce(&fleet, "node-2", address).await;
@@ -169,6 +177,39 @@
     }
 }
 
+/// A request whose head was read before the catalogue had organisations carried its key to the target.
+#[tokio::test(flavor = "multi_thread")]
+async fn keys_required_midway() {
+    let route = json!([{"kind": "route", "name": "notice", "owner": "registru", "class": "counter",
+        "service": "registru", "match": {"path_prefix": "/notices"}}]);
+    let mut fleet = start_fleet_with(&route).await;
+    let callers = fleet.instance("node-1").addresses["callers"];
+    let mut stream = TcpStream::connect(callers).await.expect("the node accepts");
+    let head = format!(
+        "GET /vehicles/1 HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {FIRST_KEY}\r\n\
+         expect: 100-continue\r\nconnection: close\r\ncontent-length: 4\r\n\r\n"
+    );
+    let sent = stream.write_all(head.as_bytes()).await;
+    sent.expect("the node reads");
+    let mut interim = [0; 25];
+    let read = stream.read_exact(&mut interim).await;
+    read.expect("the node asks for the body once it has read the head");
+    let change = json!({"change_id": "organisations", "expects": 1,
+        "put": [organisation("growers", &[FIRST_KEY], &json!({}))]});
+    apply(&fleet, &change).await;
+    fleet.wait_version(&["node-1", "node-2"], 2).await;
+    let sent = stream.write_all(b"body").await;
+    sent.expect("the node reads");
+    let mut response = String::new();
+    let read = stream.read_to_string(&mut response).await;
+    read.expect("the response is text");
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    assert!(
+        !response.contains(FIRST_KEY),
+        "the key is not passed on: {response}"
+    );
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn key_removed() {
     let fleet = start_fleet().await;
