--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2021 -O -o target/review/stand review/stand/main.rs
+rustc --edition 2024 -O -o target/review/stand review/stand/main.rs
--- a/review/stand/drain.rs
+++ b/review/stand/drain.rs
@@ -2,10 +2,11 @@
 //! heartbeat for news.
 
 use std::{
+    collections::HashMap,
     io::Write,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, Ordering},
     },
     thread,
     time::{Duration, Instant},
@@ -35,7 +36,15 @@
         .iter()
         .enumerate()
         .map(|(i, node)| {
-            kit::Server::start(&fleet, node, &format!("i-{i}"), SLOTS, ms(60), 600, &arrivals)
+            kit::Server::start(
+                &fleet,
+                node,
+                &format!("i-{i}"),
+                SLOTS,
+                ms(60),
+                600,
+                &arrivals,
+            )
         })
         .collect();
     fleet.put_config(
@@ -43,20 +52,20 @@
         0,
         r#"[{"name":"limit-desk","health_path":"/healthz","max_connections":120,"protocol":"h1","tls":false}]"#,
         r#"{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_s":3,"idle_timeout_s":15}"#,
-        r#"[{"host":"limits.example","paths":[{"name":"lookup","path_prefix":"/lookup/","type":"safe","timeout_s":1.2,"target_latency_s":0.3,"priority":2,"service":"limit-desk","max_attempts":2}]}]"#,
+        r#"[{"host":"limits.example","paths":[{"name":"decision","path_prefix":"/decision/","type":"unsafe","timeout_s":1.5,"target_latency_s":0.4,"priority":1,"service":"limit-desk","max_attempts":2}]}]"#,
     );
     for node in &fleet.nodes {
         fleet.wait_ready(node);
     }
     thread::sleep(ms(1500));
     let is_open = Arc::new(AtomicBool::new(true));
-    let served = Arc::new(AtomicU64::new(0));
+    let answers = Arc::new(Mutex::new(HashMap::new()));
     let mut clients = Vec::new();
     for node in &fleet.nodes {
         for _ in 0..CLIENTS {
-            let (is_open, served) = (Arc::clone(&is_open), Arc::clone(&served));
+            let (is_open, answers) = (Arc::clone(&is_open), Arc::clone(&answers));
             let to = node.address(fleet.ports.outbound);
-            clients.push(thread::spawn(move || client(to, &is_open, &served)));
+            clients.push(thread::spawn(move || client(to, &is_open, &answers)));
         }
     }
     thread::sleep(ms(5000));
@@ -68,13 +77,19 @@
     thread::sleep(ms(1000));
     let late_beat = server.beat_body("ready");
     let sent_at = Instant::now();
-    record.log(format!("{}: sends a heartbeat, which will be late: {late_beat}", server.id));
+    record.log(format!(
+        "{}: sends a heartbeat, which will be late: {late_beat}",
+        server.id
+    ));
     thread::sleep(ms(100));
     let answer = kit::call(server.registry, "DELETE", &server.path(), b"");
     let acked_at = Instant::now();
     match answer {
         Some(answer) if answer.status / 100 == 2 => {
-            record.log(format!("{}: says that it leaves, and is acknowledged", server.id));
+            record.log(format!(
+                "{}: says that it leaves, and is acknowledged",
+                server.id
+            ));
         }
         _ => kit::cannot_run("the server's leave was not acknowledged"),
     }
@@ -93,7 +108,9 @@
         answer.map(|answer| answer.status)
     ));
     thread::sleep((acked_at + SERVES_ON).saturating_duration_since(Instant::now()));
-    record.log(format!("{}: would end now", server.id));
+    server.has_exited.store(true, Ordering::SeqCst);
+    record.log(format!("{}: exits", server.id));
+    thread::sleep(ms(1000));
     is_open.store(false, Ordering::SeqCst);
     for client in clients {
         drop(client.join());
@@ -102,49 +119,60 @@
     // Judged from drain_s after the ack on, and once the machine that was killed is in touch again.
     let from = (acked_at + DRAIN).max(restarted_at + STABLE + ms(500));
     let arrivals = arrivals.lock().unwrap().clone();
-    let of_server = arrivals.iter().filter(|arrival| arrival.server == server.id && arrival.has_run);
+    let of_server = arrivals
+        .iter()
+        .filter(|arrival| arrival.server == server.id && arrival.has_run);
     let late: Vec<_> = of_server.filter(|arrival| arrival.at > from).collect();
+    let answers = answers.lock().unwrap();
+    let served = answers.values().filter(|status| **status == 200).count();
+    let is_lost = |attempt: &str| answers.get(attempt) != Some(&200);
+    let lost = late.iter().filter(|arrival| is_lost(&arrival.attempt));
+    let lost: Vec<&str> = lost.map(|arrival| arrival.attempt.as_str()).collect();
     record.log(format!(
-        "{} requests were served; {} reached {} later than {:.1} s after the ack",
-        served.load(Ordering::SeqCst),
+        "{served} requests were served; {} reached {} later than {:.1} s after the ack, and {} of \
+         them were cut when it exited: {}",
         late.len(),
         server.id,
-        (from - acked_at).as_secs_f64()
+        (from - acked_at).as_secs_f64(),
+        lost.len(),
+        lost.join(", ")
     ));
-    if served.load(Ordering::SeqCst) < 500 {
+    if served < 500 {
         kit::cannot_run("too few requests were served to say anything");
     }
     let mut breaks = Vec::new();
     if let (Some(first), Some(last)) = (late.first(), late.last()) {
         breaks.push(format!(
-            "DRAIN: {} requests reached {}, {:.1} s to {:.1} s after the ack of its leave (drain_s is 2)",
+            "DRAIN: {} requests reached {}, {:.1} s to {:.1} s after the ack of its leave (drain_s is \
+             2); {} of them, unsafe, were lost when it exited",
             late.len(),
             server.id,
             (first.at - acked_at).as_secs_f64(),
-            (last.at - acked_at).as_secs_f64()
+            (last.at - acked_at).as_secs_f64(),
+            lost.len()
         ));
     }
     (fleet, breaks)
 }
 
-/// Sends one request after the other on a kept connection, about 10 a second.
-fn client(to: std::net::SocketAddr, is_open: &AtomicBool, served: &AtomicU64) {
+/// Sends one request after the other on a kept connection, about 6 a second.
+fn client(to: std::net::SocketAddr, is_open: &AtomicBool, answers: &Mutex<HashMap<String, u16>>) {
     let mut connection = None;
     while is_open.load(Ordering::SeqCst) {
         let id = kit::attempt_id();
-        let mut open = match connection.take().map_or_else(|| kit::Connection::open(to), Ok) {
-            Ok(open) => open,
-            Err(_) => {
-                thread::sleep(ms(200));
-                continue;
-            }
+        let opened = connection
+            .take()
+            .map_or_else(|| kit::Connection::open(to), Ok);
+        let Ok(mut open) = opened else {
+            thread::sleep(ms(200));
+            continue;
         };
-        let request = format!(
-            "GET /lookup/{id} HTTP/1.1\r\nHost: limits.example\r\nX-Attempt-Id: {id}\r\n\
-             X-Deadline-Ms: 1200\r\n\r\n"
-        );
-        if let Ok(answer) = open.writer.write_all(request.as_bytes()).and_then(|()| open.read()) {
-            served.fetch_add(u64::from(answer.status == 200), Ordering::SeqCst);
+        let path = format!("/decision/{id}");
+        let head = kit::client_head("POST", &path, "limits.example", &id, 1500);
+        let request = head + "Content-Length: 12\r\n\r\noverdraft ok";
+        let sent = open.writer.write_all(request.as_bytes());
+        if let Ok(answer) = sent.and_then(|()| open.read()) {
+            answers.lock().unwrap().insert(id, answer.status);
             if answer.header("connection") != Some("close") {
                 connection = Some(open);
             }
--- a/review/stand/kit.rs
+++ b/review/stand/kit.rs
@@ -18,6 +18,16 @@
     time::{Duration, Instant},
 };
 
+/// The provider's names, which stand in names.txt only.
+const NAMES: &str = include_str!("names.txt");
+
+/// Returns one of the provider's names.
+pub fn name(key: &str) -> &'static str {
+    let mut lines = NAMES.lines().filter_map(|line| line.split_once(' '));
+    let found = lines.find(|(known, _)| *known == key);
+    found.expect("the name stands in names.txt").1
+}
+
 pub const fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
@@ -104,7 +114,9 @@
                         output.push_str(&render(body, &inner));
                     }
                 }
-                Some(Field::Text(text)) if text != "false" => output.push_str(&render(body, fields)),
+                Some(Field::Text(text)) if text != "false" => {
+                    output.push_str(&render(body, fields))
+                }
                 _ => {}
             }
             rest = tail;
@@ -123,8 +135,14 @@
 /// file replaced.
 fn command_of(role: &str, settings: &Path) -> (String, Vec<String>) {
     let text = fs::read_to_string("deploy/system.toml").expect("the deploy file can be read");
-    let section = text.split(&format!("[roles.{role}]")).nth(1).expect("the role exists");
-    let run = section.lines().find(|line| line.trim().starts_with("run")).expect("it has a run");
+    let section = text
+        .split(&format!("[roles.{role}]"))
+        .nth(1)
+        .expect("the role exists");
+    let run = section
+        .lines()
+        .find(|line| line.trim().starts_with("run"))
+        .expect("it has a run");
     let words = run.split('"').nth(1).expect("run is quoted").split(' ');
     let mut words = words.map(|word| {
         if word == "/etc/hazeltiller/settings.json" {
@@ -192,13 +210,19 @@
                 starts: AtomicU64::new(0),
             })
         };
-        let controls: Vec<_> = (0..controls).map(|i| machine("control", i, 10 + i, "")).collect();
+        let controls: Vec<_> = (0..controls)
+            .map(|i| machine("control", i, 10 + i, ""))
+            .collect();
         let nodes: Vec<_> = services
             .iter()
             .enumerate()
             .map(|(i, service)| machine("node", i, 30 + i, service))
             .collect();
-        let ips: Vec<Ipv4Addr> = controls.iter().chain(&nodes).map(|machine| machine.ip).collect();
+        let ips: Vec<Ipv4Addr> = controls
+            .iter()
+            .chain(&nodes)
+            .map(|machine| machine.ip)
+            .collect();
         let ports = free_ports(&ips);
         Arc::new(Self {
             folder,
@@ -221,16 +245,24 @@
         let address = |port| Field::Text(machine.address(port).to_string());
         let data = self.folder.join(format!("{}-data", machine.name));
         let seeds = self.controls.iter().take(3);
-        let seeds = seeds.map(|control| control.address(self.ports.control).to_string()).collect();
+        let seeds = seeds
+            .map(|control| control.address(self.ports.control).to_string())
+            .collect();
         let mut fields: HashMap<String, Field> = HashMap::from([
             ("node".into(), text(&machine.name)),
             ("zone".into(), text(&machine.zone)),
             ("region".into(), text("here")),
             ("ip".into(), text(&machine.ip.to_string())),
-            ("internal_ports.0".into(), text(&self.ports.internal.to_string())),
+            (
+                "internal_ports.0".into(),
+                text(&self.ports.internal.to_string()),
+            ),
             ("listen.control".into(), address(self.ports.control)),
             ("seeds".into(), Field::List(seeds)),
-            ("bootstrap".into(), text(if bootstrap { "true" } else { "false" })),
+            (
+                "bootstrap".into(),
+                text(if bootstrap { "true" } else { "false" }),
+            ),
             ("fault_tolerance.machines".into(), text("1")),
             ("bounds.grace_s".into(), text("6")),
             ("bounds.retry_budget_ratio".into(), text("0.2")),
@@ -262,7 +294,8 @@
             .stderr(error)
             .spawn()
             .unwrap_or_else(|error| cannot_run(&format!("hazeltillerd does not start: {error}")));
-        self.record.log(format!("{} starts (start {number})", machine.name));
+        self.record
+            .log(format!("{} starts (start {number})", machine.name));
         *machine.child.lock().unwrap() = Some(child);
     }
 
@@ -279,7 +312,11 @@
     pub fn signal(&self, machine: &Machine, name: &str) {
         if let Some(child) = &*machine.child.lock().unwrap() {
             let pid = child.id().to_string();
-            drop(Command::new("kill").args([&format!("-{name}"), &pid]).status());
+            drop(
+                Command::new("kill")
+                    .args([&format!("-{name}"), &pid])
+                    .status(),
+            );
             self.record.log(format!("{} gets SIG{name}", machine.name));
         }
     }
@@ -287,7 +324,9 @@
     /// Whether a process has ended by itself.
     pub fn has_ended(&self, machine: &Machine) -> bool {
         let mut child = machine.child.lock().unwrap();
-        child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
+        child
+            .as_mut()
+            .is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
     }
 
     pub fn stop_all(&self) {
@@ -304,26 +343,37 @@
 
     /// Sends a configuration until it is acknowledged, as PROTOCOL.md says; returns the time of the
     /// ack.
-    pub fn put_config(&self, version: u64, base: u64, services: &str, limits: &str, hosts: &str) -> Instant {
-        let body = format!(
-            "{{\"version\":{version},\"base_version\":{base},\"services\":{services},\
-             \"limits\":{limits},\"virtual_hosts\":{hosts}}}"
-        );
+    pub fn put_config(
+        &self,
+        version: u64,
+        base: u64,
+        services: &str,
+        limits: &str,
+        hosts: &str,
+    ) -> Instant {
+        let body = config_body(version, base, services, limits, hosts);
         let give_up = Instant::now() + ms(20_000);
         let mut next = 0;
         while Instant::now() < give_up {
             let mut address = self.controls[next % self.controls.len()].address(self.ports.control);
             next += 1;
             for _redirect in 0..3 {
-                let Some(answer) = call(address, "PUT", "/api/config", body.as_bytes()) else { break };
+                let Some(answer) = call(address, "PUT", name("config"), body.as_bytes()) else {
+                    break;
+                };
                 match answer.status {
                     200 => {
-                        self.record.log(format!("operator: version {version} is acknowledged"));
+                        self.record
+                            .log(format!("operator: version {version} is acknowledged"));
                         return Instant::now();
                     }
                     307 => {
                         let to = answer.header("location").unwrap_or_default().to_owned();
-                        let host = to.trim_start_matches("http://").split('/').next().unwrap_or("");
+                        let host = to
+                            .trim_start_matches("http://")
+                            .split('/')
+                            .next()
+                            .unwrap_or("");
                         match host.parse() {
                             Ok(leader) => address = leader,
                             Err(_) => break,
@@ -346,7 +396,7 @@
     pub fn wait_ready(&self, machine: &Machine) {
         let give_up = Instant::now() + ms(20_000);
         while Instant::now() < give_up {
-            let answer = call(machine.address(self.ports.ready), "GET", "/api/readyz", b"");
+            let answer = call(machine.address(self.ports.ready), "GET", name("ready"), b"");
             if answer.is_some_and(|answer| answer.status == 200) {
                 self.record.log(format!("{} is ready", machine.name));
                 return;
@@ -357,6 +407,15 @@
     }
 }
 
+/// The body of a whole configuration.
+pub fn config_body(version: u64, base: u64, services: &str, limits: &str, hosts: &str) -> String {
+    format!(
+        "{{\"version\":{version},\"base_version\":{base},\"services\":{services},\
+         \"limits\":{limits},\"{}\":{hosts}}}",
+        name("hosts")
+    )
+}
+
 /// Ends the script: the case could not run.
 pub fn cannot_run(reason: &str) -> ! {
     eprintln!("could not run: {reason}");
@@ -371,7 +430,9 @@
     let mut found = Vec::new();
     while found.len() < 6 {
         candidate += 1;
-        let is_free = ips.iter().all(|ip| TcpListener::bind((*ip, candidate)).is_ok());
+        let is_free = ips
+            .iter()
+            .all(|ip| TcpListener::bind((*ip, candidate)).is_ok());
         if is_free {
             found.push(candidate);
         }
@@ -403,7 +464,9 @@
         }
         std::process::exit(2);
     });
-    let result = std::panic::catch_unwind(std::panic::AssertUnwindSafe(move || case(&inner, is_disturbed)));
+    let result = std::panic::catch_unwind(std::panic::AssertUnwindSafe(move || {
+        case(&inner, is_disturbed)
+    }));
     let code = match result {
         Ok((fleet, breaks)) => {
             fleet.stop_all();
@@ -449,8 +512,9 @@
 
 impl Message {
     pub fn header(&self, name: &str) -> Option<&str> {
-        let mut found = self.headers.iter().filter(|(known, _)| known == name);
-        found.next().map(|(_, value)| value.as_str())
+        let mut headers = self.headers.iter();
+        let found = headers.find(|(known, _)| known.eq_ignore_ascii_case(name));
+        found.map(|(_, value)| value.as_str())
     }
 }
 
@@ -465,7 +529,11 @@
     let mut message = Message {
         method: first.into(),
         path: second.into(),
-        status: if first.starts_with("HTTP/") { second.parse().unwrap_or(0) } else { 0 },
+        status: if first.starts_with("HTTP/") {
+            second.parse().unwrap_or(0)
+        } else {
+            0
+        },
         headers: Vec::new(),
         body: Vec::new(),
         is_whole: false,
@@ -480,7 +548,9 @@
             return Ok(Some(message));
         }
         if let Some((name, value)) = line.split_once(':') {
-            message.headers.push((name.trim().to_ascii_lowercase(), value.trim().into()));
+            message
+                .headers
+                .push((name.trim().to_ascii_lowercase(), value.trim().into()));
         }
     }
 }
@@ -505,7 +575,10 @@
             }
         }
     }
-    let length: usize = message.header("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+    let length: usize = message
+        .header("content-length")
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(0);
     let mut body = vec![0; length];
     reader.read_exact(&mut body)?;
     message.body = body;
@@ -513,6 +586,15 @@
     Ok(())
 }
 
+/// The head of a client's request without a body.
+pub fn client_head(method: &str, path: &str, host: &str, id: &str, time_ms: u64) -> String {
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: {host}\r\n{}: {id}\r\n{}: {time_ms}\r\n",
+        name("attempt"),
+        name("deadline")
+    )
+}
+
 /// Sends one request on a new connection; `None` without a whole response within a second.
 pub fn call(to: SocketAddr, method: &str, path: &str, body: &[u8]) -> Option<Message> {
     let stream = TcpStream::connect_timeout(&to, ms(1000)).ok()?;
@@ -551,16 +633,13 @@
     pub shed: Mutex<Option<(Instant, Instant, f64)>>,
     /// From when until when part of the answers comes a second time, late, and which part.
     pub extra: Mutex<Option<(Instant, Instant, f64)>>,
-    /// From when until when part of the answers breaks off, and which part.
-    pub cut: Mutex<Option<(Instant, Instant, f64)>>,
-    /// From when until when runs take so many times as long.
-    pub slow: Mutex<Option<(Instant, Instant, f64)>>,
 }
 
 fn active(span: &Mutex<Option<(Instant, Instant, f64)>>) -> Option<f64> {
     let now = Instant::now();
     let span = *span.lock().unwrap();
-    span.filter(|(from, to, _)| *from <= now && now < *to).map(|(_, _, part)| part)
+    span.filter(|(from, to, _)| *from <= now && now < *to)
+        .map(|(_, _, part)| part)
 }
 
 pub struct Server {
@@ -576,8 +655,8 @@
     pub faults: Faults,
     pub sequence: AtomicU64,
     pub is_beating: AtomicBool,
-    /// Whether answers come in chunks instead of with a length.
-    pub is_chunked: AtomicBool,
+    /// Whether it has exited: its listener and connections are closed.
+    pub has_exited: AtomicBool,
     running: Mutex<usize>,
     released: Condvar,
     random: Mutex<Random>,
@@ -611,7 +690,7 @@
             faults: Faults::default(),
             sequence: AtomicU64::new(0),
             is_beating: AtomicBool::new(true),
-            is_chunked: AtomicBool::new(false),
+            has_exited: AtomicBool::new(false),
             running: Mutex::new(0),
             released: Condvar::new(),
             random: Mutex::new(Random(seed)),
@@ -623,6 +702,9 @@
         let accepting = Arc::clone(&server);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if accepting.has_exited.load(Ordering::SeqCst) {
+                    return;
+                }
                 let server = Arc::clone(&accepting);
                 thread::spawn(move || drop(server.serve(stream)));
             }
@@ -631,7 +713,12 @@
         thread::spawn(move || {
             while beating.is_beating.load(Ordering::SeqCst) {
                 let body = beating.beat_body("ready");
-                drop(call(beating.registry, "PUT", &beating.path(), body.as_bytes()));
+                drop(call(
+                    beating.registry,
+                    "PUT",
+                    &beating.path(),
+                    body.as_bytes(),
+                ));
                 thread::sleep(ms(870));
             }
         });
@@ -639,7 +726,7 @@
     }
 
     pub fn path(&self) -> String {
-        format!("/api/instances/{}", self.id)
+        format!("{}{}", name("instances"), self.id)
     }
 
     /// The body of its next heartbeat.
@@ -647,8 +734,12 @@
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
         format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":{},\
-             \"state\":\"{state}\",\"warmup_left_s\":0,\"sequence\":{sequence}}}",
-            self.service, self.address, self.zone, self.slots
+             \"state\":\"{state}\",\"{}\":0,\"sequence\":{sequence}}}",
+            self.service,
+            self.address,
+            self.zone,
+            self.slots,
+            name("warmup")
         )
     }
 
@@ -663,7 +754,13 @@
         // A second copy of an answer, which comes where the next answer is expected.
         let mut extra: Option<(String, Vec<u8>)> = None;
         while let Some(mut request) = read_head(&mut reader)? {
-            let id = request.header("x-attempt-id").unwrap_or_default().to_owned();
+            if self.has_exited.load(Ordering::SeqCst) {
+                return Ok(());
+            }
+            let id = request
+                .header(name("attempt"))
+                .unwrap_or_default()
+                .to_owned();
             if let Some((earlier, copy)) = extra.take() {
                 self.record.log(format!(
                     "{}: after the head of {id} comes a late second answer, to {earlier}",
@@ -673,11 +770,15 @@
             }
             read_body(&mut reader, &mut request)?;
             if request.path == "/healthz" {
-                let head = format!("HTTP/1.1 200 OK\r\nX-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n", self.id);
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\n{}: {}\r\nContent-Length: 0\r\n\r\n",
+                    name("instance"),
+                    self.id
+                );
                 writer.write_all(head.as_bytes())?;
                 continue;
             }
-            let expected = request.header("x-expect-instance").unwrap_or(&self.id);
+            let expected = request.header(name("expected")).unwrap_or(&self.id);
             let mut arrival = Arrival {
                 at: Instant::now(),
                 server: self.id.clone(),
@@ -688,59 +789,55 @@
             };
             let (kind, answer) = if expected != self.id {
                 let head = format!(
-                    "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: {id}\r\nX-Instance-Id: {}\r\n\
+                    "HTTP/1.1 421 Misdirected Request\r\n{}: {id}\r\n{}: {}\r\n\
                      Content-Length: 0\r\n\r\n",
+                    name("attempt"),
+                    name("instance"),
                     self.id
                 );
                 ("421", head.into_bytes())
             } else if active(&self.faults.shed).is_some_and(|share| self.draw(share)) {
                 let head = format!(
-                    "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: {id}\r\nX-Not-Executed: 1\r\n\
-                     Content-Length: 0\r\n\r\n"
+                    "HTTP/1.1 503 Service Unavailable\r\n{}: {id}\r\n{}: 1\r\n\
+                     Content-Length: 0\r\n\r\n",
+                    name("attempt"),
+                    name("unrun")
                 );
                 ("503, not executed", head.into_bytes())
             } else {
                 arrival.has_run = true;
-                self.record.log(format!("{}: runs {} {} {id}", self.id, request.method, request.path));
+                self.record.log(format!(
+                    "{}: runs {} {} {id}",
+                    self.id, request.method, request.path
+                ));
                 self.arrivals.lock().unwrap().push(arrival.clone());
                 if !self.work_on(&reader) {
-                    self.record.log(format!("{}: drops {id}, its connection closed", self.id));
+                    self.record.log(format!(
+                        "{}: drops {id}, its connection closed or it exits",
+                        self.id
+                    ));
                     return Ok(());
                 }
-                let body: Vec<u8> = (0..self.answer_bytes).map(|at| b'a' + (at % 26) as u8).collect();
-                let is_chunked = self.is_chunked.load(Ordering::Relaxed);
-                let framing = if is_chunked {
-                    "Transfer-Encoding: chunked".into()
-                } else {
-                    format!("Content-Length: {}", body.len())
-                };
+                let body: Vec<u8> = (0..self.answer_bytes)
+                    .map(|at| b'a' + (at % 26) as u8)
+                    .collect();
                 let mut answer = format!(
-                    "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Upstream-Seal: 3e1b.07.5a2.{}.0.c9f2a4d1\r\n\
-                     {framing}\r\n\r\n",
+                    "HTTP/1.1 200 OK\r\n{}: {id}\r\n{}: 3e1b.07.5a2.{}.0.c9f2a4d1\r\n\
+                     Content-Length: {}\r\n\r\n",
+                    name("attempt"),
+                    name("seal"),
+                    body.len(),
                     body.len()
                 )
                 .into_bytes();
-                if is_chunked {
-                    for chunk in body.chunks(500) {
-                        answer.extend(format!("{:x}\r\n", chunk.len()).bytes());
-                        answer.extend(chunk);
-                        answer.extend(b"\r\n");
-                    }
-                    answer.extend(b"0\r\n\r\n");
-                } else {
-                    answer.extend(body);
-                }
+                answer.extend(body);
                 ("200", answer)
             };
             if !arrival.has_run {
                 self.arrivals.lock().unwrap().push(arrival);
             }
-            self.record.log(format!("{}: answers {id} with {kind}", self.id));
-            if active(&self.faults.cut).is_some_and(|share| kind == "200" && self.draw(share)) {
-                self.record.log(format!("{}: breaks the answer to {id} off midway", self.id));
-                writer.write_all(&answer[..answer.len() * 3 / 4])?;
-                return Ok(());
-            }
+            self.record
+                .log(format!("{}: answers {id} with {kind}", self.id));
             writer.write_all(&answer)?;
             if active(&self.faults.extra).is_some_and(|share| self.draw(share)) {
                 extra = Some((id, answer));
@@ -757,19 +854,22 @@
         }
         *running += 1;
         drop(running);
-        let factor = active(&self.faults.slow).unwrap_or(1.0);
-        let end = Instant::now() + self.work.mul_f64(factor);
-        let is_open = wait_while_open(reader.get_ref(), end);
+        let end = Instant::now() + self.work;
+        let is_open = wait_while_open(reader.get_ref(), end, &self.has_exited);
         *self.running.lock().unwrap() -= 1;
         self.released.notify_all();
         is_open
     }
 }
 
-/// Waits until a time; returns false as soon as the other side has closed the connection.
-pub fn wait_while_open(stream: &TcpStream, end: Instant) -> bool {
+/// Waits until a time; returns false as soon as the other side has closed the connection or this
+/// side has exited.
+pub fn wait_while_open(stream: &TcpStream, end: Instant, has_exited: &AtomicBool) -> bool {
     let mut byte = [0];
     loop {
+        if has_exited.load(Ordering::SeqCst) {
+            return false;
+        }
         let now = Instant::now();
         if now >= end {
             drop(stream.set_read_timeout(None));
--- a/review/stand/twice.rs
+++ b/review/stand/twice.rs
@@ -38,7 +38,15 @@
         .iter()
         .enumerate()
         .map(|(i, node)| {
-            kit::Server::start(&fleet, node, &format!("i-{i}"), SLOTS, ms(60), 600, &arrivals)
+            kit::Server::start(
+                &fleet,
+                node,
+                &format!("i-{i}"),
+                SLOTS,
+                ms(60),
+                600,
+                &arrivals,
+            )
         })
         .collect();
     fleet.put_config(
@@ -60,7 +68,9 @@
         for _ in 0..CLIENTS {
             let (is_open, answers) = (Arc::clone(&is_open), Arc::clone(&answers));
             let (to, record) = (node.address(fleet.ports.outbound), Arc::clone(record));
-            clients.push(thread::spawn(move || client(to, &is_open, &answers, &record)));
+            clients.push(thread::spawn(move || {
+                client(to, &is_open, &answers, &record)
+            }));
         }
     }
     // Five times: 6.5 s in which a server rejects part of its requests, and 5 s in them in which some
@@ -76,7 +86,10 @@
                 let from = now + ms(500);
                 *server.faults.extra.lock().unwrap() = Some((from, from + ms(5000), EXTRA_PART));
             }
-            record.log(format!("round {}: srv_grey (shed) and garble (extra late) begin", round + 1));
+            record.log(format!(
+                "round {}: srv_grey (shed) and garble (extra late) begin",
+                round + 1
+            ));
         }
         thread::sleep(ms(7000));
     }
@@ -89,7 +102,9 @@
     let mut runs: HashMap<String, Vec<String>> = HashMap::new();
     let arrivals = arrivals.lock().unwrap().clone();
     for arrival in arrivals.iter().filter(|arrival| arrival.has_run) {
-        runs.entry(arrival.attempt.clone()).or_default().push(arrival.server.clone());
+        runs.entry(arrival.attempt.clone())
+            .or_default()
+            .push(arrival.server.clone());
     }
     let answers = answers.lock().unwrap();
     record.log(format!(
@@ -104,7 +119,10 @@
     let mut breaks = Vec::new();
     for (attempt, servers) in &runs {
         if servers.len() > 1 {
-            breaks.push(format!("TWICE: {attempt} (unsafe) ran at {}", servers.join(" and ")));
+            breaks.push(format!(
+                "TWICE: {attempt} (unsafe) ran at {}",
+                servers.join(" and ")
+            ));
         }
         if let Some(status @ (429 | 503 | 408 | 421)) = answers.get(attempt) {
             breaks.push(format!(
@@ -127,21 +145,35 @@
     let mut connection = None;
     while is_open.load(Ordering::SeqCst) {
         let id = kit::attempt_id();
-        let mut open = match connection.take().map_or_else(|| kit::Connection::open(to), Ok) {
+        let mut open = match connection
+            .take()
+            .map_or_else(|| kit::Connection::open(to), Ok)
+        {
             Ok(open) => open,
             Err(_) => {
                 thread::sleep(ms(200));
                 continue;
             }
         };
-        let request = format!(
-            "POST /decision/{id} HTTP/1.1\r\nHost: limits.example\r\nX-Attempt-Id: {id}\r\n\
-             X-Deadline-Ms: 1500\r\nContent-Length: 12\r\n\r\noverdraft ok"
+        let head = kit::client_head(
+            "POST",
+            &format!("/decision/{id}"),
+            "limits.example",
+            &id,
+            1500,
         );
-        let answer = open.writer.write_all(request.as_bytes()).and_then(|()| open.read());
+        let request = head + "Content-Length: 12\r\n\r\noverdraft ok";
+        let answer = open
+            .writer
+            .write_all(request.as_bytes())
+            .and_then(|()| open.read());
         match answer {
             Ok(answer) => {
-                let body = if answer.status == 200 { String::new() } else { format!(" {}", String::from_utf8_lossy(&answer.body)) };
+                let body = if answer.status == 200 {
+                    String::new()
+                } else {
+                    format!(" {}", String::from_utf8_lossy(&answer.body))
+                };
                 record.log(format!("client: {id} is answered {}{body}", answer.status));
                 answers.lock().unwrap().insert(id, answer.status);
                 if answer.header("connection") != Some("close") {
