--- a/review/stand/stale.rs
+++ b/review/stand/stale.rs
@@ -16,11 +16,11 @@
 /// Routes that one growth adds (big_config, count 350).
 const GROWTH: usize = 350;
 /// Number of growths.
-const GROWTHS: usize = 12;
+const GROWTHS: usize = 16;
 /// Changes that the operator has in progress at once; eight are allowed.
-const IN_PROGRESS: u64 = 3;
+const IN_PROGRESS: u64 = 2;
 /// Time between two of them, in milliseconds.
-const GAP_MS: u64 = 10;
+const GAP_MS: u64 = 50;
 /// Time from the kill of the controls until they are started again; they are back within a second.
 const DOWN_MS: u64 = 500;
 const MAX_ROUNDS: usize = 5;
@@ -51,7 +51,7 @@
         thread::sleep(ms(1500));
         let first = version + 1;
         let bodies: Vec<String> = (first..first + IN_PROGRESS)
-            .map(|new| document(new, new - 1, routes, 1.0 + (new % 50) as f64 / 10.0))
+            .map(|new| document(new, new - 1, routes, timeout_of(new)))
             .collect();
         operator.put_at_once(first, &bodies);
         for (new, body) in (first..).zip(&bodies) {
@@ -69,9 +69,12 @@
             }
         }
         operator.wait_for(version, bodies.last().expect("there are changes"));
-        // Another operator, who builds on the version before the newest one, has lost the race.
+        // Another operator, who builds on the version before the newest one and changes one route's
+        // time-out in it, has lost the race.
         let late = version + 1;
-        let body = document(late, version - 1, FIRST_ROUTES, 2.0);
+        let body = document(late, version - 1, routes, timeout_of(version - 1));
+        let old = format!("\"timeout_s\":{}", timeout_of(version - 1));
+        let body = body.replacen(&old, "\"timeout_s\":7.5", 1);
         let status = operator.put_once(late, &body);
         if status == 200 {
             breaks.push(format!(
@@ -91,11 +94,16 @@
     (fleet, breaks)
 }
 
+/// The time-out of all routes in a version.
+fn timeout_of(version: u64) -> f64 {
+    1.0 + (version % 50) as f64 / 10.0
+}
+
 /// A configuration of so many routes, which all have this time-out.
 fn document(version: u64, base: u64, routes: usize, timeout_s: f64) -> String {
     let paths: Vec<String> = (0..routes)
         .map(|route| {
-            let parts: Vec<String> = (0..10)
+            let parts: Vec<String> = (0..15)
                 .map(|part| {
                     format!(
                         "franchise-group-{:05}",
