--- a/review/stand/drain.rs
+++ b/review/stand/drain.rs
@@ -14,7 +14,21 @@
 
 use crate::kit::{self, ms};
 
-const SERVERS: usize = 6;
+/// The services of the ten machines, as on the site.
+const SERVICES: [&str; 10] = [
+    "limit-desk",
+    "limit-desk",
+    "limit-desk",
+    "limit-desk",
+    "limit-desk",
+    "limit-desk",
+    "exposure-ledger",
+    "exposure-ledger",
+    "exposure-ledger",
+    "exposure-ledger",
+];
+/// Machines whose clients send requests: those of limit-desk.
+const CLIENT_MACHINES: usize = 6;
 const SLOTS: usize = 6;
 const CLIENTS: usize = 3;
 /// drain_s of the site.
@@ -27,7 +41,7 @@
 const SERVES_ON: Duration = ms(9000);
 
 pub fn run(record: &Arc<kit::Record>, is_disturbed: bool) -> (Arc<kit::Fleet>, Vec<String>) {
-    let fleet = kit::Fleet::plan(record, 3, &["limit-desk"; SERVERS]);
+    let fleet = kit::Fleet::plan(record, 3, &SERVICES);
     *kit::FLEET.lock().unwrap() = Some(Arc::clone(&fleet));
     fleet.start_all();
     let arrivals = Arc::new(Mutex::new(Vec::new()));
@@ -50,7 +64,7 @@
     fleet.put_config(
         1,
         0,
-        r#"[{"name":"limit-desk","health_path":"/healthz","max_connections":120,"protocol":"h1","tls":false}]"#,
+        r#"[{"name":"limit-desk","health_path":"/healthz","max_connections":120,"protocol":"h1","tls":false},{"name":"exposure-ledger","health_path":"/healthz","max_connections":120,"protocol":"h1","tls":false}]"#,
         r#"{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_s":3,"idle_timeout_s":15}"#,
         r#"[{"host":"limits.example","paths":[{"name":"decision","path_prefix":"/decision/","type":"unsafe","timeout_s":1.5,"target_latency_s":0.4,"priority":1,"service":"limit-desk","max_attempts":2}]}]"#,
     );
@@ -61,11 +75,13 @@
     let is_open = Arc::new(AtomicBool::new(true));
     let answers = Arc::new(Mutex::new(HashMap::new()));
     let mut clients = Vec::new();
-    for node in &fleet.nodes {
+    for node in &fleet.nodes[..CLIENT_MACHINES] {
         for _ in 0..CLIENTS {
             let (is_open, answers) = (Arc::clone(&is_open), Arc::clone(&answers));
-            let to = node.address(fleet.ports.outbound);
-            clients.push(thread::spawn(move || client(to, &is_open, &answers)));
+            let (to, record) = (node.address(fleet.ports.outbound), Arc::clone(record));
+            clients.push(thread::spawn(move || {
+                client(to, &is_open, &answers, &record)
+            }));
         }
     }
     thread::sleep(ms(5000));
@@ -156,7 +172,12 @@
 }
 
 /// Sends one request after the other on a kept connection, about 6 a second.
-fn client(to: std::net::SocketAddr, is_open: &AtomicBool, answers: &Mutex<HashMap<String, u16>>) {
+fn client(
+    to: std::net::SocketAddr,
+    is_open: &AtomicBool,
+    answers: &Mutex<HashMap<String, u16>>,
+    record: &kit::Record,
+) {
     let mut connection = None;
     while is_open.load(Ordering::SeqCst) {
         let id = kit::attempt_id();
@@ -170,8 +191,14 @@
         let path = format!("/decision/{id}");
         let head = kit::client_head("POST", &path, "limits.example", &id, 1500);
         let request = head + "Content-Length: 12\r\n\r\noverdraft ok";
+        record.log(format!("client: sends {id} to {to}"));
         let sent = open.writer.write_all(request.as_bytes());
-        if let Ok(answer) = sent.and_then(|()| open.read()) {
+        let answer = sent.and_then(|()| open.read());
+        match &answer {
+            Ok(answer) => record.log(format!("client: {id} is answered {}", answer.status)),
+            Err(error) => record.log(format!("client: {id} gets no answer: {error}")),
+        }
+        if let Ok(answer) = answer {
             answers.lock().unwrap().insert(id, answer.status);
             if answer.header("connection") != Some("close") {
                 connection = Some(open);
--- a/review/stand/stale.rs
+++ b/review/stand/stale.rs
@@ -214,6 +214,9 @@
     /// Sends a change until it has a clear answer; `None` if none comes in time.
     fn put(&self, version: u64, body: &str, time: Duration) -> Option<u16> {
         let started = Instant::now();
+        self.log(format!(
+            "version {version} is sent until it has a clear answer"
+        ));
         for index in 0.. {
             if started.elapsed() > time {
                 break;
--- a/review/stand/twice.rs
+++ b/review/stand/twice.rs
@@ -163,6 +163,7 @@
             1500,
         );
         let request = head + "Content-Length: 12\r\n\r\noverdraft ok";
+        record.log(format!("client: sends {id} to {to}"));
         let answer = open
             .writer
             .write_all(request.as_bytes())
