Withdrawals: a holder keeps a notice that its restarted owner lacks

What callers could see: requests at a target that had left, after its node was restarted (DRAIN). Seen in a test only: a target that was ready again between two drains, and a control that had missed the second notice.

Cause: hold() noted that a restarted owner node has its notices whenever it entrusted any notice of the target, also a lesser one that another holder had returned to it first. The other holders then kept theirs to themselves.

Change: the incarnation is noted only where the entrusted notice covers the held one. The owner node takes back the greater one and entrusts it again, which ends the returns.

--- a/crates/engine/src/membership/withdrawals.rs
+++ b/crates/engine/src/membership/withdrawals.rs
@@ -52,7 +52,7 @@
 #[derive(Debug, Clone)]
 struct HeldNotice {
     notice: wire::WithdrawalNotice,
-    /// Latest incarnation of the owner node that has the notice.
+    /// Latest incarnation of the owner node that entrusted the notice as it is held.
     owner: ids::IncarnationNumber,
     expires_at: time::MonotonicTime,
     next_return_at: time::MonotonicTime,
@@ -394,11 +394,14 @@
         batch: next_batch,
     });
     current.expires_at = current.expires_at.max(expires_at);
-    if from.incarnation > current.owner || !covers(&current.notice, &notice) {
-        if !covers(&current.notice, &notice) {
-            current.notice = notice.clone();
-        }
-        current.owner = current.owner.max(from.incarnation);
+    if !covers(&current.notice, &notice) {
+        current.notice = notice.clone();
+        current.batch = next_batch;
+    }
+    // A restarted owner node may have been returned an earlier notice by another holder, and still
+    // needs this one.
+    if from.incarnation > current.owner && covers(&notice, &current.notice) {
+        current.owner = from.incarnation;
         current.batch = next_batch;
     }
     let is_behind = |writer: &&mut NoticeWriter| current.batch > writer.durable_batch;
