Shutdown: a node keeps a link while its peer still receives

What callers saw: a response cut short by the stop of its target's node, where the link between the nodes was slow (294,999 of 300,000 bytes with the head).

Cause: a stopping node closed a link one second after its last response had been handed to the HTTP library, whatever was still buffered. A response is read from its target in pieces of up to a few hundred KB, and the library takes a piece whole, so that more than a second's worth can wait there.

Change: the link is closed after a second in which its socket took no byte. A peer that is cut off takes none and delays the exit as little as before; the bound for all of it stays finish_ms.

--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -15,10 +15,12 @@
     time,
 };
 
+mod counted_stream;
+
 use crate::{drain, handshake, links, listener, owner, pool, process, questions};
 
-/// Time for which a stopping node keeps a connection open after its last response, so that the peer
-/// receives the end of that response: what is buffered and under way on a narrow link.
+/// Time without progress after which a stopping node closes a connection whose last response has been
+/// handed over. What is buffered of it goes out as the peer reads, which is slow on a narrow link.
 const FINAL_FLUSH_TIME: Duration = Duration::from_millis(1000);
 
 /// Allowance for the headers that a node adds to those of a caller, in bytes.
@@ -139,6 +141,7 @@
         .max_send_buf_size(pool::STREAM_WINDOW_BYTES as usize)
         .max_concurrent_streams(4096);
     let in_flight = context.drain.in_flight();
+    let (stream, written) = counted_stream::CountedStream::new(stream);
     let connection = server.serve_connection(rt::TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let served = tokio::select! {
@@ -148,11 +151,11 @@
             // A peer that is cut off never acknowledges the shutdown of the connection, which must
             // not delay the exit of the process.
             let flushed = async {
-                // The last response may have been handed over just before.
                 loop {
                     open_calls.closed().await;
+                    let written_bytes = written.get();
                     time::sleep(FINAL_FLUSH_TIME).await;
-                    if open_calls.receiver_count() == 0 {
+                    if open_calls.receiver_count() == 0 && written.get() == written_bytes {
                         return;
                     }
                 }
--- a/tests/all/streaming.rs
+++ b/tests/all/streaming.rs
@@ -372,6 +372,13 @@
 /// where the link was slow.
 #[tokio::test(flavor = "multi_thread")]
 async fn stop_on_slow_link() {
+    for wait_ms in [0, 200] {
+        stop_during_response(Duration::from_millis(wait_ms)).await;
+    }
+}
+
+/// Stops a node after a time from the sending of a request, whose response goes over a slow link.
+async fn stop_during_response(wait: Duration) {
     const BODY_BYTES: usize = 300_000;
     const LINK_BYTES_PER_S: usize = 100_000;
     let mut fleet = support::start_two_nodes().await;
@@ -389,7 +396,7 @@
     let callers = fleet.instance("node-2").addresses["callers"];
     let request = "GET /vehicles/2 HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
     let response = tokio::spawn(raw::exchange_bytes(callers, request));
-    time::sleep(Duration::from_millis(200)).await;
+    time::sleep(wait).await;
     assert_eq!(fleet.stop("node-1").await, Some(0));
     let response = response.await.expect("the caller does not panic");
     assert!(response.starts_with("HTTP/1.1 200"), "{}", &response[..60]);
