Log what proves to the owner node that an offered call did not run

It is derived by the observer from what the engine reports, logged locally only, and changes no message.

seeing::refusal_proven (real processes) fails without the field.

--- a/crates/daemon/src/observer.rs
+++ b/crates/daemon/src/observer.rs
@@ -17,7 +17,7 @@
 
 use crate::{metrics, timeline};
 
-use engine_timeline::{CallFailure, TimelineEvent};
+use engine_timeline::{CallFailure, RefusalProof, TimelineEvent};
 
 mod fleet;
 mod usage;
@@ -301,8 +301,12 @@
         };
         self.count_run(open_call, failure_label(failure));
         self.usage.end_run(open_call, false, &self.metrics);
-        let request = open_call.request.clone();
-        self.close(call, Some(TimelineEvent::RunFailed { request, failure }));
+        let failed = TimelineEvent::RunFailed {
+            request: open_call.request.clone(),
+            failure,
+            proof: refusal_proof(open_call, result),
+        };
+        self.close(call, Some(failed));
     }
 
     /// Removes a call that has ended on this process, records its last event, if any, and logs all
@@ -469,6 +473,7 @@
             queued: load.map(|load| load.queued),
             slots: load.map(|load| load.slots),
             held_us: took_us,
+            proof: RefusalProof::NeverDispatched,
         };
         // The call never ran, so it is closed here and not counted as a failed run.
         self.close(call, Some(refused));
@@ -526,12 +531,23 @@
     }
 }
 
-/// Returns the metric label of a failure.
 /// Returns what the caller of a call was told, or did, about its turn.
 fn turn_of(state: &reducer::EngineState, call: ids::CallId) -> Option<returns::CallerTurn> {
     state.calls.ingress.get(&call)?.turn
 }
 
+/// Returns what proves that a call did not run, or `None` if it may have run.
+fn refusal_proof(open_call: &OpenCall, result: calls::RunResult) -> Option<RefusalProof> {
+    match result {
+        _ if !open_call.has_slot => Some(RefusalProof::NeverDispatched),
+        calls::RunResult::NotConnected => Some(RefusalProof::NotConnected),
+        calls::RunResult::Declined => Some(RefusalProof::TargetDeclined),
+        calls::RunResult::WrongTarget => Some(RefusalProof::WrongTarget),
+        _ => None,
+    }
+}
+
+/// Returns the metric label of a failure.
 fn failure_label(failure: CallFailure) -> &'static str {
     match failure {
         CallFailure::NotReached => "not_reached",
--- a/crates/engine/src/timeline.rs
+++ b/crates/engine/src/timeline.rs
@@ -55,6 +55,20 @@
     CallerGone,
 }
 
+/// What proves to the owner node that an offered call did not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RefusalProof {
+    /// The call never got a slot, so no part of it was sent to the target.
+    NeverDispatched,
+    /// No connection to the target could be opened.
+    NotConnected,
+    /// The target answered, with the id of the request, that it did not run it.
+    TargetDeclined,
+    /// Another target answered, with the id of the request, that it did not run it.
+    WrongTarget,
+}
+
 /// How a signal of a target came to this process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -425,6 +439,8 @@
         slots: Option<u32>,
         /// Time that the offer was held on this node, in microseconds.
         held_us: u64,
+        /// What proves that the call did not run.
+        proof: RefusalProof,
     },
     /// An offered call started to run at an own target.
     CallRun {
@@ -448,6 +464,9 @@
         request: ids::RequestId,
         /// How the run failed.
         failure: CallFailure,
+        /// What proves that the call did not run; absent if it may have run.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        proof: Option<RefusalProof>,
     },
     /// Resources that the calls of a route used on this process within one second, if not all of
     /// them succeeded.
--- a/tests/all/seeing.rs
+++ b/tests/all/seeing.rs
@@ -213,6 +213,28 @@
     );
 }
 
+/// The owner node logs what proves that a declined call did not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_proven() {
+    let mut fleet = start_fleet().await;
+    let behaviour = behaviour::StandInBehaviour {
+        declined_interval: 1,
+        ..behaviour::StandInBehaviour::default()
+    };
+    support::start_stand_in_with(&mut fleet, "node-2", "target-1", behaviour).await;
+    let line = wait::until("the log line of a declined run", || async {
+        let request = Request::get("/vehicles/7").body(Full::default()).ok()?;
+        fleet.send_request("node-1", "callers", request).await?;
+        let log = fleet.log("node-2");
+        let line = log.lines().find(|line| line.contains("run_failed"))?;
+        Some(line.to_owned())
+    })
+    .await;
+    let line: Value = serde_json::from_str(&line).expect("the line is a JSON object");
+    let fields = (&line["failure"], &line["proof"]);
+    assert_eq!(fields, (&"declined".into(), &"target_declined".into()));
+}
+
 /// Failed runs are counted in the usage of their route, at the node of their target.
 #[tokio::test(flavor = "multi_thread")]
 async fn slots_accounted() {
