--- a/crates/standin/src/answer.rs
+++ b/crates/standin/src/answer.rs
@@ -164,7 +164,15 @@
         return stream_response(status, text, &behaviour, run);
     }
     run.end(runs::RunOutcome::Answered);
-    text_response(status, &pad(text, behaviour.answer_bytes))
+    let text = pad(text, behaviour.answer_bytes);
+    let mut response = text_response(status, &text);
+    if behaviour.repeated_interval > 0 {
+        echo_id(&parts, response.headers_mut());
+        if number.is_multiple_of(behaviour.repeated_interval) {
+            slot.set(late_copy(&response, &text));
+        }
+    }
+    response
 }
 
 /// Declines a request, which has not run. The response is sent twice if that is scripted.
@@ -176,21 +184,31 @@
     let mut response = text_response(StatusCode::SERVICE_UNAVAILABLE, "");
     let headers = response.headers_mut();
     headers.insert(headers::DECLINED, header::HeaderValue::from_static("1"));
-    if let Some(id) = parts.headers.get(headers::REQUEST) {
-        headers.insert(headers::REQUEST, id.clone());
-    }
+    echo_id(parts, headers);
     if behaviour.is_decline_repeated {
-        let lines = headers.iter().map(|(name, value)| {
-            let value = String::from_utf8_lossy(value.as_bytes());
-            format!("{name}: {value}\r\n")
-        });
-        let lines: String = lines.collect();
-        let head = format!("HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n{lines}\r\n");
-        slot.set(head.into());
+        slot.set(late_copy(&response, ""));
     }
     response
 }
 
+/// Adds the id of a request to the headers of its response.
+fn echo_id(parts: &hyper::http::request::Parts, headers: &mut hyper::HeaderMap) {
+    if let Some(id) = parts.headers.get(headers::REQUEST) {
+        headers.insert(headers::REQUEST, id.clone());
+    }
+}
+
+/// Returns a response with this body as it is sent on a connection.
+fn late_copy(response: &Response<ResponseBody>, body: &str) -> Bytes {
+    let lines = response.headers().iter().map(|(name, value)| {
+        let value = String::from_utf8_lossy(value.as_bytes());
+        format!("{name}: {value}\r\n")
+    });
+    let lines: String = lines.collect();
+    let (status, length) = (response.status(), body.len());
+    format!("HTTP/1.1 {status}\r\ncontent-length: {length}\r\n{lines}\r\n{body}").into()
+}
+
 fn run_record(parts: &hyper::http::request::Parts, body_bytes: usize) -> runs::RunRecord {
     runs::RunRecord {
         method: parts.method.to_string(),
--- a/crates/standin/src/behaviour.rs
+++ b/crates/standin/src/behaviour.rs
@@ -92,6 +92,9 @@
     /// Sends the response to each declined request a second time on its connection, once the next
     /// request has arrived there and before that is answered.
     pub is_decline_repeated: bool,
+    /// Echoes the id of each request that it runs, and sends the response a second time in the same
+    /// way if the number of the request is a multiple of this. 0 does neither.
+    pub repeated_interval: u64,
 }
 
 impl Default for StandInBehaviour {
@@ -113,6 +116,7 @@
             is_leaving: false,
             declined_interval: 0,
             is_decline_repeated: false,
+            repeated_interval: 0,
         }
     }
 }
