Test: most targets decline, and all repeat responses late

Checked against the targets' run logs: nothing that was refused as not run has run, and nothing ran twice; each outcome occurs for a twentieth of the requests at least.

--- a/tests/all/declines.rs
+++ b/tests/all/declines.rs
@@ -7,7 +7,6 @@
 
 use crate::support;
 
-const TARGETS: [&str; 2] = ["target-1", "target-2"];
 const CALLER_COUNT: usize = 4;
 const REQUESTS_PER_CALLER: usize = 60;
 
@@ -21,13 +20,60 @@
         is_decline_repeated: true,
         ..behaviour::StandInBehaviour::default()
     };
+    let targets = [("node-1", "target-1"), ("node-2", "target-2")];
+    let behaviours = targets.map(|target| (target, behaviour.clone()));
+    let outcomes = check_outcomes(&mut fleet, &behaviours).await;
+    for wanted in [CallerOutcome::Answered, CallerOutcome::Unknown] {
+        assert!(count(&outcomes, wanted) > 0, "none is {wanted:?}");
+    }
+}
+
+/// Most targets decline half of the requests, and all repeat ordinary responses too. The promises
+/// hold although few connections are used twice without a late copy.
+#[tokio::test(flavor = "multi_thread")]
+async fn heavy_declines() {
+    let mut fleet = support::start_two_nodes().await;
+    let repeating = behaviour::StandInBehaviour {
+        is_decline_repeated: true,
+        repeated_interval: 3,
+        ..behaviour::StandInBehaviour::default()
+    };
+    let declining = behaviour::StandInBehaviour {
+        declined_interval: 2,
+        ..repeating.clone()
+    };
+    let behaviours = [
+        (("node-1", "target-1"), repeating),
+        (("node-1", "target-2"), declining.clone()),
+        (("node-1", "target-3"), declining.clone()),
+        (("node-2", "target-4"), declining.clone()),
+        (("node-2", "target-5"), declining.clone()),
+        (("node-2", "target-6"), declining),
+    ];
+    let outcomes = check_outcomes(&mut fleet, &behaviours).await;
+    for wanted in [
+        CallerOutcome::Answered,
+        CallerOutcome::NotRun,
+        CallerOutcome::Unknown,
+    ] {
+        let count = count(&outcomes, wanted);
+        assert!(count >= outcomes.len() / 20, "{count} are {wanted:?}");
+    }
+}
+
+/// Sends requests that may run once to targets with these behaviours, and checks what the callers
+/// were told against the runs.
+async fn check_outcomes(
+    fleet: &mut fleet::Fleet,
+    behaviours: &[((&str, &str), behaviour::StandInBehaviour)],
+) -> Vec<(String, CallerOutcome)> {
     let mut targets = Vec::new();
-    for (node, name) in ["node-1", "node-2"].into_iter().zip(TARGETS) {
+    for ((node, name), behaviour) in behaviours {
         let behaviour = behaviour.clone();
-        targets.push(support::start_stand_in_with(&mut fleet, node, name, behaviour).await);
+        targets.push(support::start_stand_in_with(fleet, node, name, behaviour).await);
     }
-    support::wait_for_routing(&fleet, "node-1").await;
-    let callers = (0..CALLER_COUNT).map(|caller| send_requests(&fleet, caller));
+    support::wait_for_routing(fleet, "node-1").await;
+    let callers = (0..CALLER_COUNT).map(|caller| send_requests(fleet, caller));
     let outcomes = futures_util::future::join_all(callers).await.concat();
     let runs = targets.iter().flat_map(target::StandInTarget::runs);
     let runs: Vec<String> = runs.map(|run| run.path).collect();
@@ -40,17 +86,12 @@
             CallerOutcome::Unknown => {}
         }
     }
-    let count = |wanted| {
-        outcomes
-            .iter()
-            .filter(|(_, outcome)| *outcome == wanted)
-            .count()
-    };
-    assert!(count(CallerOutcome::Answered) > 0, "{outcomes:?}");
-    assert!(
-        count(CallerOutcome::Unknown) > 0,
-        "no second copy came: {outcomes:?}"
-    );
+    outcomes
+}
+
+fn count(outcomes: &[(String, CallerOutcome)], wanted: CallerOutcome) -> usize {
+    let outcomes = outcomes.iter();
+    outcomes.filter(|(_, outcome)| *outcome == wanted).count()
 }
 
 /// A declined request was sent again on the same connection, where the second copy of the first
