Stand-in: bytes without end in a scripted place of a response

A target in trouble may send bytes without end. The script names the place (a head, interim responses, declined or good bodies, after a response, on an idle connection, at accept, in health probes), which requests get it and how slowly it comes; counters tell how many connections it was sent on, how many of these were closed and the bytes that they took.

--- a/crates/standin/src/answer.rs
+++ b/crates/standin/src/answer.rs
@@ -14,7 +14,7 @@
 use serde::Serialize;
 use tokio::time;
 
-use crate::{behaviour, client, headers, repeat, runs, target};
+use crate::{behaviour, client, endless, headers, repeat, runs, target};
 
 /// Path of the run log.
 pub const RUNS_PATH: &str = "/stand-in/runs";
@@ -46,15 +46,16 @@
 pub async fn respond(
     target: &target::StandInTarget,
     slot: &repeat::RepeatSlot,
+    raw: &endless::RawWriter,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
     match (request.method(), request.uri().path()) {
         (&Method::GET, RUNS_PATH) => serve_runs(target),
         (&Method::POST, BEHAVIOUR_PATH) => set_behaviour(target, request).await,
-        (&Method::GET, HEALTH_PATH) => serve_health(target),
+        (&Method::GET, HEALTH_PATH) => serve_health(target, raw).await,
         (&Method::GET, LOAD_PATH) => serve_load(target),
         _ => {
-            let mut response = run(target, slot, request).await;
+            let mut response = run(target, slot, raw, request).await;
             set_signals(response.headers_mut(), &target.behaviour());
             response
         }
@@ -100,8 +101,15 @@
     }
 }
 
-fn serve_health(target: &target::StandInTarget) -> Response<ResponseBody> {
-    if target.behaviour().reports_healthy() {
+async fn serve_health(
+    target: &target::StandInTarget,
+    raw: &endless::RawWriter,
+) -> Response<ResponseBody> {
+    let behaviour = target.behaviour();
+    if let Some(script) = behaviour.endless.filter(|script| script.is_at_probes) {
+        return write_endless(raw, script, "").await;
+    }
+    if behaviour.reports_healthy() {
         text_response(StatusCode::OK, "well\n")
     } else {
         text_response(StatusCode::SERVICE_UNAVAILABLE, "ill\n")
@@ -119,6 +127,7 @@
 async fn run(
     target: &target::StandInTarget,
     slot: &repeat::RepeatSlot,
+    raw: &endless::RawWriter,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
     let (parts, body) = request.into_parts();
@@ -132,6 +141,10 @@
     if interval > 0 && number.is_multiple_of(interval) {
         return decline(&parts, slot, &behaviour);
     }
+    let scripted = behaviour.endless.filter(|script| is_due(script, number));
+    if let Some(script) = scripted.filter(|script| !script.place.is_answer()) {
+        return write_endless(raw, script, request_id(&parts)).await;
+    }
     let slots = behaviour.real_slots.unwrap_or(target.settings().slots);
     let Some(run) = target.log().begin(run_record(&parts, body.len()), slots) else {
         return text_response(StatusCode::SERVICE_UNAVAILABLE, "no slot is free\n");
@@ -142,6 +155,10 @@
         target.crash_as_scripted(&behaviour);
         return std::future::pending().await;
     }
+    if let Some(script) = scripted {
+        run.end(runs::RunOutcome::Answered);
+        return write_endless(raw, script, request_id(&parts)).await;
+    }
     let mut text = format!(
         "{} ran {} {}\n",
         target.settings().name,
@@ -167,6 +184,31 @@
     text_response(status, &pad(text, behaviour.answer_bytes))
 }
 
+/// Whether the request with this number gets bytes without end.
+fn is_due(script: &endless::EndlessScript, number: u64) -> bool {
+    let is_at_accept = script.place == endless::EndlessPlace::Accept;
+    !is_at_accept && script.interval > 0 && number.is_multiple_of(script.interval)
+}
+
+fn request_id(parts: &hyper::http::request::Parts) -> &str {
+    header_text(parts, headers::REQUEST).unwrap_or_default()
+}
+
+/// Writes without end past the HTTP server, then closes the connection.
+async fn write_endless(
+    raw: &endless::RawWriter,
+    script: endless::EndlessScript,
+    request: &str,
+) -> Response<ResponseBody> {
+    if let Err(error) = raw.run(script, request).await {
+        log::debug!("bytes without end have ended: {error}");
+    }
+    let mut response = text_response(StatusCode::OK, "");
+    let close = header::HeaderValue::from_static("close");
+    response.headers_mut().insert(header::CONNECTION, close);
+    response
+}
+
 /// Declines a request, which has not run. The response is sent twice if that is scripted.
 fn decline(
     parts: &hyper::http::request::Parts,
--- a/crates/standin/src/behaviour.rs
+++ b/crates/standin/src/behaviour.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::endless;
+
 /// Header that makes a request crash the target that runs it. Its value is ignored.
 pub const CRASH_HEADER: &str = "stand-in-crash";
 /// Substring of a path that makes a request crash the target that runs it.
@@ -92,6 +94,8 @@
     /// Sends the response to each declined request a second time on its connection, once the next
     /// request has arrived there and before that is answered.
     pub is_decline_repeated: bool,
+    /// Bytes without end, if any.
+    pub endless: Option<endless::EndlessScript>,
 }
 
 impl Default for StandInBehaviour {
@@ -113,6 +117,7 @@
             is_leaving: false,
             declined_interval: 0,
             is_decline_repeated: false,
+            endless: None,
         }
     }
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod answer;
 pub mod behaviour;
 pub mod client;
+pub mod endless;
 pub mod headers;
 pub mod load;
 pub mod repeat;
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -18,7 +18,7 @@
     time,
 };
 
-use crate::{answer, behaviour, client, repeat, runs, settings};
+use crate::{answer, behaviour, client, endless, repeat, runs, settings};
 
 /// Exit code of a process that ends itself in a scripted crash.
 const CRASH_EXIT_CODE: i32 = 70;
@@ -71,6 +71,7 @@
     pub address: SocketAddr,
     settings: Arc<settings::StandInSettings>,
     log: runs::RunLog,
+    endless: endless::EndlessLog,
     shared: Arc<Mutex<SharedState>>,
     lifecycle: watch::Sender<LifecycleRecord>,
 }
@@ -106,6 +107,7 @@
             address: listener.local_addr()?,
             settings: Arc::new(settings),
             log: runs::RunLog::default(),
+            endless: endless::EndlessLog::default(),
             shared: Arc::new(Mutex::new(shared)),
             lifecycle: watch::Sender::new(LifecycleRecord {
                 state: LifecycleState::Up,
@@ -127,6 +129,11 @@
         &self.log
     }
 
+    /// Returns the counts of what was sent without end.
+    pub fn endless(&self) -> &endless::EndlessLog {
+        &self.endless
+    }
+
     /// Returns the runs so far.
     pub fn runs(&self) -> Vec<runs::RunRecord> {
         self.log.records()
@@ -249,13 +256,31 @@
         drop(stream.set_nodelay(true));
         let mut lifecycle = self.lifecycle.subscribe();
         let crashes = lifecycle.borrow_and_update().crashes;
+        let raw = match endless::RawWriter::new(&stream, self.endless.clone()) {
+            Ok(raw) => raw,
+            Err(error) => {
+                log::warn!("cannot duplicate the handle of a connection: {error}");
+                return;
+            }
+        };
         let slot = repeat::RepeatSlot::default();
         let stream = repeat::RepeatStream::new(stream, slot.clone());
+        let at_accept = self.accept_script();
+        let writer = raw.clone();
         let service = service::service_fn(move |request| {
-            let (target, slot) = (self.clone(), slot.clone());
-            async move { Ok::<_, Infallible>(answer::respond(&target, &slot, request).await) }
+            let (target, slot, raw) = (self.clone(), slot.clone(), raw.clone());
+            async move { Ok::<_, Infallible>(answer::respond(&target, &slot, &raw, request).await) }
         });
-        let served = http1::Builder::new().serve_connection(rt::TokioIo::new(stream), service);
+        let served = async {
+            if let Some(script) = at_accept {
+                return writer.run(script, "").await.map_err(Into::into);
+            }
+            let stream = rt::TokioIo::new(stream);
+            let serving = http1::Builder::new().serve_connection(stream, service);
+            serving
+                .await
+                .map_err(Box::<dyn std::error::Error + Send + Sync>::from)
+        };
         tokio::select! {
             ended = served => {
                 if let Err(error) = ended {
@@ -266,6 +291,14 @@
         }
     }
 
+    /// Counts an accepted connection; returns the script if it gets bytes without end at once.
+    fn accept_script(&self) -> Option<endless::EndlessScript> {
+        let number = self.endless.record_accept();
+        let script = self.behaviour().endless?;
+        let is_scripted = script.interval > 0 && number.is_multiple_of(script.interval);
+        (is_scripted && script.place == endless::EndlessPlace::Accept).then_some(script)
+    }
+
     async fn renew_announcements(self) {
         let mut timer = time::interval(self.settings.lease / 3);
         loop {
