--- a/crates/standin/src/endless.rs
+++ b/crates/standin/src/endless.rs
@@ -15,8 +15,8 @@
 
 use crate::headers;
 
-/// Bytes that are written before the script is looked at again.
-const BLOCK_BYTES: usize = 16_384;
+/// Minimum size of what is written repeatedly.
+const BLOCK_BYTES: usize = 65_536;
 /// Time after a complete response until bytes follow it on the idle connection.
 const IDLE_PAUSE: Duration = Duration::from_millis(50);
 
@@ -223,7 +223,9 @@
         let pause = Duration::from_millis(script.piece_pause_ms);
         loop {
             for piece in block.as_bytes().chunks(piece_bytes) {
-                time::sleep(pause).await;
+                if !pause.is_zero() {
+                    time::sleep(pause).await;
+                }
                 stream.write_all(piece).await?;
                 let counts = &self.log.counts;
                 counts
