Rest of a declined response: bounded in bytes as well as in time

A node grew to over 800 MB, where it may use 64, while one target followed the head of a rejection with chunks, or with bytes, without end, and was killed where memory is limited. The rest of a declined response was collected for up to 200 ms so that its connection could be reused. It is now discarded frame by frame, up to 64 KiB; then the connection closes.

--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -31,15 +31,12 @@
 };
 
 mod places;
+mod remainder;
 
 use crate::{dialect, engine_actor, http, pool, process, response_buffer, trace};
 
 pub use places::PlaceTable;
 
-/// Time allowed to read the rest of a declined response so that its connection can be reused. The
-/// connection is closed afterwards.
-const DECLINED_BODY_TIMEOUT: Duration = Duration::from_millis(200);
-
 /// Backlog of the link from which ingress nodes are told of it. A shorter one is that of turns
 /// under way.
 const MIN_REPORTED_BACKLOG: Duration = Duration::from_millis(10);
@@ -339,7 +336,7 @@
             dialect::ResponseVerdict::Valid => {}
             dialect::ResponseVerdict::Declined => {
                 connection.record_declined(self.metadata.request.clone());
-                drain_and_reuse(context, self.plan.address, body, connection);
+                remainder::drain_and_reuse(context, self.plan.address, body, connection);
                 let declined = not_run(code::ResultCode::TargetDeclined);
                 return self.refuse(calls::RunResult::Declined, declined);
             }
@@ -434,21 +431,6 @@
     }
 }
 
-/// Reads the rest of a declined response, then returns its connection to the pool.
-fn drain_and_reuse(
-    context: Arc<process::ProcessContext>,
-    address: std::net::SocketAddr,
-    body: Incoming,
-    connection: pool::TargetConnection,
-) {
-    tokio::spawn(async move {
-        let drained = time::timeout(DECLINED_BODY_TIMEOUT, body.collect()).await;
-        if let Ok(Ok(_body)) = drained {
-            context.targets.put_idle(address, connection);
-        }
-    });
-}
-
 /// Reports a request to the quarantine as the cause of a crash if its target has stopped listening.
 /// A connection may be lost for other reasons, and then the target accepts a new one.
 async fn report_crash(
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod demo;
 mod dependencies;
 mod drain;
+mod endless;
 mod examples;
 mod failing_disk;
 mod fleet;
