--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -6,7 +6,7 @@
 mod targets;
 
 pub use nodes::{CONNECTION_WINDOW_BYTES, NodePool, STREAM_WINDOW_BYTES};
-pub use targets::{TargetConnection, TargetPool, is_listening};
+pub use targets::{TargetConnection, TargetPool, TargetSender, is_listening};
 
 /// Why a request got no response.
 #[derive(Debug, Snafu)]
--- a/crates/daemon/src/pool/targets.rs
+++ b/crates/daemon/src/pool/targets.rs
@@ -1,16 +1,19 @@
 //! HTTP/1.1 connections to this node's targets; each carries one request at a time.
 
+mod sender;
+
 use std::{net::SocketAddr, sync::Mutex, time::Duration};
 
 use hazeltiller_units::ids;
-use hyper::{Request, Response, body::Incoming, client::conn::http1};
-use hyper_util::rt;
+use hyper::{Request, Response, body::Incoming};
 use indexmap::IndexMap;
 use tokio::{io::AsyncReadExt, net::TcpStream, time};
 
 use super::SendError;
 use crate::http;
 
+pub use sender::TargetSender;
+
 /// Maximum time to connect to a target.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time within which a crashing target closes a connection that its listener still accepted.
@@ -22,7 +25,7 @@
 /// A connection to a target.
 #[derive(Debug)]
 pub struct TargetConnection {
-    sender: http1::SendRequest<http::StreamBody>,
+    sender: TargetSender,
     /// Requests that the target declined on this connection. A late copy of such a response would
     /// pass for the response to the same request if that were sent here once more.
     declined: Vec<ids::RequestId>,
@@ -56,7 +59,7 @@
         mut request: Request<http::StreamBody>,
     ) -> Result<(Response<Incoming>, TargetConnection), SendError> {
         while let Some(mut connection) = self.take_idle(to, id) {
-            match connection.sender.try_send_request(request).await {
+            match connection.sender.send(request).await {
                 Ok(response) => return Ok((response, connection)),
                 Err(mut error) => match error.take_message() {
                     // The idle connection had been closed, and nothing was sent on it.
@@ -70,7 +73,7 @@
             }
         }
         let mut connection = connect_target(to).await?;
-        match connection.sender.try_send_request(request).await {
+        match connection.sender.send(request).await {
             Ok(response) => Ok((response, connection)),
             Err(error) => Err(SendError::ConnectionLost {
                 source: error.into_error(),
@@ -119,14 +122,8 @@
         .map_err(|elapsed| not_connected(elapsed.to_string()))?
         .map_err(|error| not_connected(error.to_string()))?;
     drop(stream.set_nodelay(true));
-    let (sender, connection) = http1::handshake(rt::TokioIo::new(stream))
-        .await
-        .map_err(|error| not_connected(error.to_string()))?;
-    tokio::spawn(async move {
-        if let Err(error) = connection.await {
-            log::debug!("connection to target {to} ended with an error: {error}");
-        }
-    });
+    let sender = TargetSender::open(to, stream).await;
+    let sender = sender.map_err(|error| not_connected(error.to_string()))?;
     let declined = Vec::new();
     Ok(TargetConnection { sender, declined })
 }
--- a/crates/daemon/src/probe.rs
+++ b/crates/daemon/src/probe.rs
@@ -4,14 +4,11 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use bytes::Bytes;
 use hazeltiller_engine::{event, health};
-use http_body_util::Empty;
-use hyper::{Request, client::conn::http1, header, http::response};
-use hyper_util::rt;
+use hyper::{Request, client::conn::TrySendError, header, http::response};
 use tokio::{net::TcpStream, sync::mpsc, time};
 
-use crate::{dialect, engine_actor};
+use crate::{dialect, engine_actor, http, pool};
 
 type ProbeError = Box<dyn std::error::Error + Send + Sync>;
 
@@ -37,13 +34,11 @@
 /// Requests a target's health page and returns the head of the response.
 async fn request_health(to: SocketAddr, path: &str) -> Result<response::Parts, ProbeError> {
     let stream = TcpStream::connect(to).await?;
-    let (mut sender, connection) = http1::handshake(rt::TokioIo::new(stream)).await?;
-    let connection_task = tokio::spawn(connection);
+    let mut sender = pool::TargetSender::open(to, stream).await?;
     let request = Request::get(path)
         .header(header::HOST, to.to_string())
-        .body(Empty::<Bytes>::new())?;
-    let response = sender.send_request(request).await;
-    connection_task.abort();
-    let (head, _body) = response?.into_parts();
+        .body(http::full_body(""))?;
+    let response = sender.send(request).await;
+    let (head, _body) = response.map_err(TrySendError::into_error)?.into_parts();
     Ok(head)
 }
--- a/tests/all/endless.rs
+++ b/tests/all/endless.rs
@@ -22,6 +22,12 @@
     EndlessPlace::DeclinedSurplus,
     EndlessPlace::DeclinedCopies,
 ];
+const NO_RESPONSE: [EndlessPlace; 3] = [
+    EndlessPlace::Garbage,
+    EndlessPlace::Head,
+    EndlessPlace::Interim,
+];
+
 /// A node with one target.
 struct EndlessScene {
     fleet: fleet::Fleet,
@@ -121,3 +127,18 @@
         scene.assert_over(place).await;
     }
 }
+
+/// Interim responses were read for as long as the request had time.
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_heads() {
+    for place in NO_RESPONSE {
+        let scene = EndlessScene::start_untimed().await;
+        scene.set_script(Some(script(place)));
+        let requests = (0..CONCURRENT_REQUESTS).map(|_| scene.send("/vehicles/headless"));
+        for (status, outcome) in futures_util::future::join_all(requests).await {
+            assert_eq!(status, StatusCode::BAD_GATEWAY, "{place:?}");
+            assert_eq!(outcome, "unknown", "{place:?}");
+        }
+        scene.assert_over(place).await;
+    }
+}
