--- a/crates/standin/src/behaviour.rs
+++ b/crates/standin/src/behaviour.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::endless;
+
 /// Header that makes a request crash the target that runs it. Its value is ignored.
 pub const CRASH_HEADER: &str = "stand-in-crash";
 /// Substring of a path that makes a request crash the target that runs it.
@@ -95,6 +97,8 @@
     /// Echoes the id of each request that it runs, and sends the response a second time in the same
     /// way if the number of the request is a multiple of this. 0 does neither.
     pub repeated_interval: u64,
+    /// Bytes without end, if any.
+    pub endless: Option<endless::EndlessScript>,
 }
 
 impl Default for StandInBehaviour {
@@ -117,6 +121,7 @@
             declined_interval: 0,
             is_decline_repeated: false,
             repeated_interval: 0,
+            endless: None,
         }
     }
 }
