Log which version a refusal was judged by, and when and whence versions came into force

The users' record of a 404 has neither the version that the node held nor the time at which it put one in force, so none of the three explanations could be told from the others: call_refused had no version (only call_arrived, which a record of warnings leaves out), and version_in_force had no sender, no delay and no bound on its lines.

call_refused has the version in force when the request arrived. version_in_force has how and from whom the version came, the time in the queue and on the way of the frame that brought it, the time for which gossip had told of a later version, and at a control the change and the time since acceptance; one line a second at most, with the number that it stands for, while the timeline keeps each. change_accepted has the operator's label. A gauge has the time of the version in force. No message between processes changes.

--- a/crates/daemon/src/engine_actor.rs
+++ b/crates/daemon/src/engine_actor.rs
@@ -12,7 +12,7 @@
     calls, dissemination, event, health, ledger, membership, reducer, replication,
 };
 use hazeltiller_units::{code, ids, time};
-use hazeltiller_wire::message;
+use hazeltiller_wire::{membership as wire_membership, message};
 use indexmap::IndexMap;
 use kameo::{
     Actor,
@@ -45,6 +45,13 @@
         /// Receives the effects of the call.
         effects: mpsc::UnboundedSender<calls::CallEffect>,
     },
+    /// A message from another process.
+    Frame {
+        /// Sender of the message.
+        from: wire_membership::PeerIdentity,
+        /// The message, with the time at which it was queued for sending.
+        frame: message::PeerFrame,
+    },
     /// Proposes a catalogue change and replies with its result.
     Propose {
         /// The proposal, to which the actor assigns its number.
@@ -80,6 +87,7 @@
         match self {
             Self::Event(event) => f.debug_tuple("Event").field(event).finish(),
             Self::Call { event, .. } => f.debug_tuple("Call").field(event).finish(),
+            Self::Frame { frame, .. } => f.debug_tuple("Frame").field(frame).finish(),
             Self::Propose { proposal, .. } => f.debug_tuple("Propose").field(proposal).finish(),
             Self::ReadRevision { .. } => f.write_str("ReadRevision"),
             Self::ChangeGroup { change, .. } => f.debug_tuple("ChangeGroup").field(change).finish(),
@@ -147,6 +155,11 @@
                 self.sinks.observer.call_opened(call, request, &event);
                 self.reduce(event::Event::Calls(event));
             }
+            EngineInput::Frame { from, frame } => {
+                self.sinks.observer.frame_opened(frame.clock);
+                let message = frame.message;
+                self.reduce(event::Event::Received { from, message });
+            }
             EngineInput::Propose {
                 mut proposal,
                 reply,
@@ -258,7 +271,7 @@
 
     fn run_dissemination(&self, effect: dissemination::DisseminationEffect) {
         match effect {
-            dissemination::DisseminationEffect::InForce { state } => {
+            dissemination::DisseminationEffect::InForce { state, .. } => {
                 self.sinks.in_force.send_replace(state);
             }
             dissemination::DisseminationEffect::InvalidUpdate { .. }
@@ -354,6 +367,11 @@
         self.enqueue(EngineInput::Event(event));
     }
 
+    /// Sends a message from another process to the reducer.
+    pub fn tell_frame(&self, from: wire_membership::PeerIdentity, frame: message::PeerFrame) {
+        self.enqueue(EngineInput::Frame { from, frame });
+    }
+
     /// Registers a call and sends its first event. Returns the receiver of its effects.
     pub fn open_call(
         &self,
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -133,6 +133,8 @@
     rollout_phase: gauge "hazeltiller_rollout_phase" ["service", "version", "phase"];
     /// Version of the catalogue in force; its lag is the largest over all processes less this one.
     catalogue_version: gauge "hazeltiller_catalogue_version" [];
+    /// Time at which that version came into force here, in milliseconds since 1970; none before the first one.
+    in_force_at: gauge "hazeltiller_catalogue_in_force_timestamp_milliseconds" [];
     /// Nodes that the version in force here is known to be in force on, as a control knows.
     nodes_in_force: gauge "hazeltiller_nodes_in_force" [];
     /// Nodes that are known, as a control knows.
--- a/crates/daemon/src/observer.rs
+++ b/crates/daemon/src/observer.rs
@@ -13,6 +13,7 @@
     timeline as engine_timeline,
 };
 use hazeltiller_units::{code, ids};
+use hazeltiller_wire::message;
 use indexmap::IndexMap;
 
 use crate::{metrics, timeline};
@@ -21,6 +22,7 @@
 
 mod fleet;
 mod usage;
+mod versions;
 
 /// Smallest HTTP status that counts as a failed run.
 const MIN_FAILURE_STATUS: u16 = 500;
@@ -36,6 +38,8 @@
     step_started_at: Instant,
     /// Time left until the target latency when the call was offered to this node.
     latency_left: Duration,
+    /// Catalogue version in force when it arrived, by which its route was chosen.
+    version: ids::CatalogueVersion,
     status: u16,
     /// Events of the call, logged when it has ended.
     records: Vec<timeline::TimelineRecord>,
@@ -55,10 +59,11 @@
     timeline: timeline::Timeline,
     metrics: Arc<metrics::ProcessMetrics>,
     calls: IndexMap<ids::CallId, OpenCall>,
-    /// Ids of the proposed changes by proposal number.
-    changes: IndexMap<u64, ids::ChangeId>,
+    /// Ids and labels of the proposed changes by proposal number.
+    changes: IndexMap<u64, (ids::ChangeId, Option<ids::RevisionLabel>)>,
     fleet: fleet::FleetMonitor,
     usage: usage::UsageTable,
+    versions: versions::VersionMonitor,
 }
 
 impl EngineObserver {
@@ -71,6 +76,7 @@
             changes: IndexMap::new(),
             fleet: fleet::FleetMonitor::default(),
             usage: usage::UsageTable::default(),
+            versions: versions::VersionMonitor::default(),
         }
     }
 
@@ -89,6 +95,7 @@
             started_at,
             step_started_at: started_at,
             latency_left: Duration::MAX,
+            version: ids::CatalogueVersion::default(),
             status: 0,
             records: Vec::new(),
             target: None,
@@ -100,8 +107,14 @@
         self.calls.insert(call, open_call);
     }
 
+    /// Notes when the next event, a message, was sent by the clock of its sender.
+    pub fn frame_opened(&mut self, sent: message::HybridTime) {
+        self.versions.frame_sent_at = Some(sent.wall);
+    }
+
     /// Counts an event after it has been reduced and its effects have been carried out.
-    pub fn after_event(&self, duration: Duration) {
+    pub fn after_event(&mut self, duration: Duration) {
+        self.versions.frame_sent_at = None;
         self.metrics.record_event(duration);
     }
 
@@ -111,6 +124,7 @@
             event::Event::Tick => {
                 self.fleet.check(state, &self.timeline);
                 self.usage.report(state.now, &self.timeline);
+                self.versions.report(state.now, &self.timeline);
             }
             event::Event::Received { from, .. } => {
                 self.fleet.message_received(from.address, &self.timeline);
@@ -141,11 +155,16 @@
                 code: *code,
                 message: message.clone(),
             }),
-            event::Effect::Dissemination(dissemination::DisseminationEffect::InForce { state }) => {
-                self.timeline.record(TimelineEvent::VersionInForce {
-                    version: state.version,
-                    digest: state.digest,
-                });
+            event::Effect::Dissemination(dissemination::DisseminationEffect::InForce {
+                state: catalogue,
+                origin,
+                behind,
+            }) => {
+                let in_force = self.versions.describe(catalogue, origin, *behind);
+                let record = self.timeline.record_unlogged(in_force);
+                let at = self.metrics.in_force_at.with_label_values::<&str>(&[]);
+                at.set(record.at.wall.0 as i64);
+                self.versions.add(record, state.now, &self.timeline);
             }
             event::Effect::Dissemination(dissemination::DisseminationEffect::InvalidUpdate {
                 from,
@@ -175,7 +194,9 @@
 
     fn change_proposed(&mut self, proposal: &replication::ChangeProposal) {
         let change = proposal.request.change_id.clone();
-        self.changes.insert(proposal.number.0, change.clone());
+        let label = proposal.request.replace.as_ref().map(|it| it.label);
+        self.changes
+            .insert(proposal.number.0, (change.clone(), label));
         self.timeline.record(TimelineEvent::ChangeProposed {
             change,
             expects: proposal.request.expects,
@@ -183,13 +204,14 @@
     }
 
     fn change_answered(&mut self, number: u64, answer: &replication::ProposalAnswer) {
-        let Some(change) = self.changes.swap_remove(&number) else {
+        let Some((change, label)) = self.changes.swap_remove(&number) else {
             return;
         };
         let event = match answer {
             replication::ProposalAnswer::Accepted(receipt) => TimelineEvent::ChangeAccepted {
                 change,
                 version: receipt.version,
+                label,
             },
             replication::ProposalAnswer::Refused { code, .. } => TimelineEvent::ChangeRefused {
                 change,
@@ -210,6 +232,9 @@
     fn call_event(&mut self, event: &calls::CallEvent, version: ids::CatalogueVersion) {
         match event {
             calls::CallEvent::Arrived(arrival) => {
+                if let Some(open_call) = self.calls.get_mut(&arrival.call) {
+                    open_call.version = version;
+                }
                 self.record_call(arrival.call, |request| TimelineEvent::CallArrived {
                     request,
                     method: arrival.method.clone(),
@@ -444,6 +469,7 @@
             usage.add_refusal(open_call.is_ingress, duration);
         }
         let took_us = duration.as_micros() as u64;
+        let version = open_call.version;
         if open_call.is_ingress {
             let refused_seconds = self
                 .metrics
@@ -458,6 +484,7 @@
                 limit,
                 turn,
                 took_us,
+                version,
             });
         }
         let load = refusal.load;
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -3,7 +3,6 @@
 
 use std::{sync::Arc, time::Duration};
 
-use hazeltiller_engine::event;
 use hazeltiller_wire::{codec, handshake as wire, membership, message};
 use http_body_util::BodyExt;
 use hyper::{server::conn::http2, service};
@@ -90,11 +89,7 @@
             .bytes
             .count_received(frame.message.category(), bytes);
         context.clock.merge(frame.clock);
-        let event = event::Event::Received {
-            from: from.clone(),
-            message: frame.message,
-        };
-        context.engine.tell(event);
+        context.engine.tell_frame(from.clone(), frame);
         if reader.buffer().is_empty() {
             writer
                 .write_all(&[links::ACK_BYTE])
--- a/crates/daemon/src/timeline.rs
+++ b/crates/daemon/src/timeline.rs
@@ -220,7 +220,8 @@
         }
     }
 
-    fn log(&self, record: &TimelineRecord) {
+    /// Logs a recorded event.
+    pub fn log(&self, record: &TimelineRecord) {
         let level = record_level(&record.event);
         if level <= log::max_level() {
             logging::write(&RecordLine {
--- a/crates/engine/src/dissemination.rs
+++ b/crates/engine/src/dissemination.rs
@@ -15,7 +15,7 @@
 pub mod report;
 pub mod version;
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use hazeltiller_catalogue::{delta, state as catalogue_state};
 use hazeltiller_units::{ids, time};
@@ -33,6 +33,29 @@
     pub step: delta::DeltaStep,
     /// Time of acceptance, in milliseconds since the Unix epoch.
     pub accepted_at_ms: u64,
+    /// Id of the change.
+    pub change: ids::ChangeId,
+}
+
+/// How a version came to this process.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum VersionOrigin {
+    /// This control committed the change that made it.
+    Log {
+        /// Id of the change.
+        change: ids::ChangeId,
+        /// Time of acceptance, in milliseconds since the Unix epoch.
+        accepted_at_ms: u64,
+    },
+    /// From a snapshot of the replicated log.
+    LogSnapshot,
+    /// From another process.
+    Peer {
+        /// Instance that sent it.
+        from: ids::InstanceName,
+        /// Whether that is the parent in the relay tree.
+        is_parent: bool,
+    },
 }
 
 /// Input events of dissemination.
@@ -52,6 +75,10 @@
     InForce {
         /// The catalogue now in force.
         state: Arc<catalogue_state::CatalogueState>,
+        /// How it came to this process.
+        origin: VersionOrigin,
+        /// Time since another process first advertised a later version than the one held.
+        behind: Option<Duration>,
     },
     /// A delta or snapshot did not match its digest or failed validation. After an invalid delta, a
     /// snapshot is requested from its sender.
--- a/crates/engine/src/dissemination/pull.rs
+++ b/crates/engine/src/dissemination/pull.rs
@@ -26,6 +26,8 @@
 pub struct PullState {
     advertised: Option<AdvertisedVersion>,
     requested_at: Option<time::MonotonicTime>,
+    /// Since when a later version than the local one has been known, requested or not.
+    behind_since: Option<time::MonotonicTime>,
 }
 
 /// Records the version that another process advertises. Keeps the latest version, and the time
@@ -38,6 +40,8 @@
     if state.settings.identity.is_control || held.version <= state.dissemination.version() {
         return;
     }
+    let now = state.now;
+    state.dissemination.pull.behind_since.get_or_insert(now);
     let advertised = state.dissemination.pull.advertised;
     let known = advertised.filter(|advertised| advertised.version > state.dissemination.version());
     if known.is_some_and(|known| known.version > held.version) {
@@ -90,6 +94,12 @@
     );
 }
 
+/// Returns for how long a later version than the local one has been known, and begins anew.
+pub fn take_lag(state: &mut reducer::EngineState) -> Option<Duration> {
+    let since = state.dissemination.pull.behind_since.take()?;
+    Some(state.now.since(since))
+}
+
 /// Clears the outstanding request after a version was accepted.
 pub fn clear_request(state: &mut reducer::EngineState) {
     state.dissemination.pull.requested_at = None;
--- a/crates/engine/src/dissemination/version.rs
+++ b/crates/engine/src/dissemination/version.rs
@@ -95,7 +95,11 @@
 ) {
     let is_next = committed.state.version == state.dissemination.version().next();
     let steps = is_next.then(|| vec![committed.step]);
-    activate(state, committed.state, steps, output);
+    let origin = dissemination::VersionOrigin::Log {
+        change: committed.change,
+        accepted_at_ms: committed.accepted_at_ms,
+    };
+    activate(state, committed.state, steps, origin, output);
 }
 
 /// Accepts a version that this control's log reached without the individual changes, by a snapshot.
@@ -104,7 +108,8 @@
     restored: catalogue_state::CatalogueState,
     output: &mut event::ReducerOutput,
 ) {
-    activate(state, restored, None, output);
+    let origin = dissemination::VersionOrigin::LogSnapshot;
+    activate(state, restored, None, origin, output);
 }
 
 /// Handles a delta. Steps already applied are skipped, since deltas may cross on the way. If the
@@ -130,7 +135,10 @@
     delta.steps.drain(..(held.0 - delta.base.0) as usize);
     delta.base = held;
     match delta.apply(&state.dissemination.in_force) {
-        Ok(updated) => activate(state, updated, Some(delta.steps), output),
+        Ok(updated) => {
+            let origin = peer_origin(state, from);
+            activate(state, updated, Some(delta.steps), origin, output);
+        }
         Err(_invalid) => {
             report_invalid(state, from, output);
             request_update(state, from, true, output);
@@ -157,12 +165,23 @@
                 && snapshot.has_valid_digest()
                 && check::check_entries(&snapshot.entries).is_empty() =>
         {
-            activate(state, snapshot, None, output);
+            let origin = peer_origin(state, from);
+            activate(state, snapshot, None, origin, output);
         }
         _ => report_invalid(state, from, output),
     }
 }
 
+fn peer_origin(
+    state: &reducer::EngineState,
+    from: &wire_membership::PeerIdentity,
+) -> dissemination::VersionOrigin {
+    dissemination::VersionOrigin::Peer {
+        from: from.instance.clone(),
+        is_parent: state.dissemination.parent.address == Some(from.address),
+    }
+}
+
 fn report_invalid(
     state: &reducer::EngineState,
     from: &wire_membership::PeerIdentity,
@@ -195,6 +214,7 @@
     state: &mut reducer::EngineState,
     updated: catalogue_state::CatalogueState,
     steps: Option<Vec<delta::DeltaStep>>,
+    origin: dissemination::VersionOrigin,
     output: &mut event::ReducerOutput,
 ) {
     let is_newer = updated.version > state.dissemination.version();
@@ -210,6 +230,8 @@
     state.dissemination.in_force = Arc::new(updated);
     let effect = dissemination::DisseminationEffect::InForce {
         state: Arc::clone(&state.dissemination.in_force),
+        origin,
+        behind: dissemination::pull::take_lag(state),
     };
     output.effects.push(event::Effect::Dissemination(effect));
     dissemination::pull::clear_request(state);
--- a/crates/engine/src/replication/state_machine.rs
+++ b/crates/engine/src/replication/state_machine.rs
@@ -142,6 +142,7 @@
             state: self.catalogue.clone(),
             step,
             accepted_at_ms: change.accepted_at_ms,
+            change: change.change_id.clone(),
         }
     }
 
--- a/crates/engine/src/timeline.rs
+++ b/crates/engine/src/timeline.rs
@@ -67,6 +67,20 @@
     IngressNode,
 }
 
+/// How a version of the catalogue came to this process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum VersionSource {
+    /// This control committed the change that made it.
+    Log,
+    /// From a snapshot of the replicated log.
+    LogSnapshot,
+    /// From the parent in the relay tree.
+    Parent,
+    /// From another process, which this one asked for it or whose child it was.
+    Pull,
+}
+
 /// An event of the timeline.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "snake_case")]
@@ -91,6 +105,9 @@
         change: ids::ChangeId,
         /// Catalogue version that the change produced.
         version: ids::CatalogueVersion,
+        /// The operator's label, for a replacement of the whole catalogue.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        label: Option<ids::RevisionLabel>,
     },
     /// A proposed change was refused.
     ChangeRefused {
@@ -124,6 +141,28 @@
         version: ids::CatalogueVersion,
         /// Digest of the catalogue.
         digest: ids::StateDigest,
+        /// How it came here.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        source: Option<VersionSource>,
+        /// Instance that sent it.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        from: Option<ids::InstanceName>,
+        /// Id of the change that produced it, at a control.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        change: Option<ids::ChangeId>,
+        /// Time since its acceptance by the clock of the leader of that time, at a control, in
+        /// milliseconds.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        after_ms: Option<u64>,
+        /// Time since its sender queued the frame that brought it, by both clocks, in milliseconds.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        frame_ms: Option<u64>,
+        /// Time since gossip first named a later version than the one held, in milliseconds.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        behind_ms: Option<u64>,
+        /// Number of versions in force since the last logged one that have no line of their own.
+        #[serde(default, skip_serializing_if = "is_zero")]
+        passed_over: u64,
     },
     /// A catalogue version was rejected because its digest does not match; the version in force
     /// stays.
@@ -399,6 +438,8 @@
         turn: Option<returns::CallerTurn>,
         /// Time since the request arrived, in microseconds.
         took_us: u64,
+        /// Catalogue version that the request was judged by.
+        version: ids::CatalogueVersion,
     },
     /// A call was offered to this node for an own target.
     CallOffered {
@@ -511,6 +552,14 @@
     pub failed_ms: u64,
 }
 
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+fn is_zero(count: &u64) -> bool {
+    *count == 0
+}
+
 impl RouteUsage {
     /// Returns whether calls were refused or runs failed.
     pub fn has_failures(&self) -> bool {
--- a/crates/testkit/src/reducers.rs
+++ b/crates/testkit/src/reducers.rs
@@ -297,6 +297,7 @@
             state: self.accepted.clone(),
             step: delta::DeltaStep { term, set },
             accepted_at_ms: self.now_micros / 1000,
+            change: "accepted".parse().expect("a valid change id"),
         };
         for name in controls {
             let to = self.process(name).state.settings.identity.address;
@@ -425,7 +426,10 @@
     fn run_effect(&mut self, name: &str, effect: event::Effect) {
         match effect {
             event::Effect::Send { to, message } => self.send(name, to, message),
-            event::Effect::Dissemination(dissemination::DisseminationEffect::InForce { state }) => {
+            event::Effect::Dissemination(dissemination::DisseminationEffect::InForce {
+                state,
+                ..
+            }) => {
                 self.check_invariants(name, &state);
             }
             event::Effect::Calls(effect) => {
--- a/tests/all/seeing.rs
+++ b/tests/all/seeing.rs
@@ -6,7 +6,7 @@
 use hazeltiller_testkit::{fleet, wait};
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
-use serde_json::Value;
+use serde_json::{Value, json};
 
 use crate::support;
 
@@ -150,6 +150,10 @@
             "hazeltiller_slots{target=\"registru-sibiu-1\"} 10",
         ),
         ("node-1", "hazeltiller_catalogue_version 1"),
+        (
+            "node-1",
+            "hazeltiller_catalogue_in_force_timestamp_milliseconds 1",
+        ),
         ("control-1", "hazeltiller_is_leader 1"),
         ("control-1", "hazeltiller_members{state=\"reachable\"} 2"),
         ("control-1", "hazeltiller_nodes_in_force 2"),
@@ -213,6 +217,110 @@
     );
 }
 
+fn find_line(log: &str, kind: &str) -> Option<Value> {
+    let kind = format!(r#""kind":"{kind}""#);
+    let line = log.lines().rfind(|line| line.contains(&kind))?;
+    serde_json::from_str(line).ok()
+}
+
+/// A refusal alone tells the version that its node held, and the logs tell when and how that came.
+#[tokio::test(flavor = "multi_thread")]
+async fn version_logged() {
+    let fleet = start_fleet().await;
+    let change = json!({"change_id": "labelled", "expects": 0, "put": support::first_change()["put"],
+        "replace": {"label": 41, "base": 0, "document": "document 41"}});
+    let answer = fleet.change("control-1", &change).await;
+    assert_eq!(answer.expect("the control answers").0, 200);
+    fleet
+        .wait_version(&["control-1", "node-1", "node-2"], 2)
+        .await;
+    let request = Request::get("/nowhere").body(Full::default());
+    let request = request.expect("a valid request URI");
+    fleet.send_request("node-1", "callers", request).await;
+    let table = [
+        (
+            "node-1",
+            "call_refused",
+            json!({"code": "HZ3001", "version": 2}),
+        ),
+        (
+            "control-1",
+            "change_accepted",
+            json!({"change": "labelled", "version": 2, "label": 41}),
+        ),
+        (
+            "control-1",
+            "version_in_force",
+            json!({"version": 2, "source": "log", "change": "labelled"}),
+        ),
+        (
+            "node-1",
+            "version_in_force",
+            json!({"version": 2, "level": "info"}),
+        ),
+        (
+            "node-2",
+            "version_in_force",
+            json!({"version": 2, "level": "info"}),
+        ),
+    ];
+    for (name, kind, fields) in table {
+        let line = wait::until(&format!("{kind} of {name}"), || async {
+            let line = find_line(&fleet.log(name), kind)?;
+            (line["version"] == 2).then_some(line)
+        })
+        .await;
+        for (field, value) in fields.as_object().expect("a JSON object") {
+            assert_eq!(&line[field], value, "{name}: {line}");
+        }
+        assert!(line["at"]["wall"].is_u64(), "{name}: {line}");
+        if kind == "version_in_force" && name != "control-1" {
+            assert!(line["from"].is_string(), "{name}: {line}");
+            assert!(line["frame_ms"].is_u64(), "{name}: {line}");
+        }
+    }
+}
+
+/// Each version of a burst is in the timeline, and the log accounts for all of them in few lines.
+#[tokio::test(flavor = "multi_thread")]
+async fn version_lines_bounded() {
+    const CHANGES: u64 = 40;
+    let fleet = start_fleet().await;
+    for number in 1..=CHANGES {
+        let change = json!({"change_id": format!("burst-{number}"), "expects": number,
+            "put": support::first_change()["put"]});
+        let answer = fleet.change("control-1", &change).await;
+        assert_eq!(answer.expect("the control answers").0, 200);
+    }
+    let last = CHANGES + 1;
+    fleet.wait_version(&["node-1"], last).await;
+    let lines: Vec<Value> = wait::until("the line of the last version", || async {
+        let log = fleet.log("node-1");
+        let lines = log.lines().filter(|line| line.contains("version_in_force"));
+        let lines: Vec<Value> = lines
+            .map(|line| serde_json::from_str(line).expect("the line is a JSON object"))
+            .collect();
+        let is_complete = lines.last().is_some_and(|line| line["version"] == last);
+        is_complete.then_some(lines)
+    })
+    .await;
+    let walls: Vec<u64> = lines
+        .iter()
+        .filter_map(|line| line["at"]["wall"].as_u64())
+        .collect();
+    let seconds = (walls[walls.len() - 1] - walls[0]).div_ceil(1000);
+    assert!(lines.len() as u64 <= seconds + 2, "{lines:?}");
+    let passed_over = lines.iter().map(|line| line["passed_over"].as_u64());
+    let passed_over: u64 = passed_over.map(Option::unwrap_or_default).sum();
+    let page = fleet.read("node-1", "/v1/timeline").await;
+    let page = page.expect("a running instance answers");
+    let events = page["events"].as_array().expect("a page holds events");
+    let in_force = events
+        .iter()
+        .filter(|event| event["kind"] == "version_in_force");
+    assert_eq!(passed_over + lines.len() as u64, in_force.count() as u64);
+}
+
 /// Failed runs are counted in the usage of their route, at the node of their target.
 #[tokio::test(flavor = "multi_thread")]
 async fn slots_accounted() {
