--- a/crates/daemon/src/dialect.rs
+++ b/crates/daemon/src/dialect.rs
@@ -50,6 +50,8 @@
     pub deadline_left: Duration,
     /// Number of the attempt, from 1.
     pub attempt: u32,
+    /// Whether the request may run more than once.
+    pub is_idempotent: bool,
     /// Service of the target that sent the request, if one did.
     pub caller: Option<ids::EntryName>,
     /// Organisation that the request belongs to, if it carried an API key.
--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -183,6 +183,7 @@
             request: id.clone(),
             deadline_left: Duration::ZERO,
             attempt: offer.attempt,
+            is_idempotent: offer.is_idempotent,
             caller: offer.caller.clone(),
             organisation,
         };
