Calls: a response that is dropped for another attempt proves nothing

The ingress node keeps whether an earlier attempt may have run a request, for the case that its body can't be sent again. It counted a target's own 503, which makes an idempotent request go elsewhere, as proof of nothing having run: the caller was refused with HZ3017 and outcome not-run. Now every response counts as a possible run. Requests that may run once were not concerned, as they are not sent again.

declines::unproven_resend (real processes) failed before, at the outcome.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -404,12 +404,12 @@
     }
 }
 
-/// Returns whether the target may have run the call although the attempt failed.
+/// Returns whether the target may have run the call although its response is not forwarded.
 fn is_outcome_unknown(result: &calls::AttemptResult) -> bool {
     match result {
-        calls::AttemptResult::Lost => true,
-        calls::AttemptResult::Refused(refusal) => refusal.outcome == wire::CallOutcome::Unknown,
-        calls::AttemptResult::Answered { .. } | calls::AttemptResult::NotReached => false,
+        calls::AttemptResult::Lost | calls::AttemptResult::Answered { .. } => true,
+        calls::AttemptResult::Refused(refusal) => refusal.outcome != wire::CallOutcome::NotRun,
+        calls::AttemptResult::NotReached => false,
     }
 }
 
--- a/tests/all/declines.rs
+++ b/tests/all/declines.rs
@@ -1,7 +1,7 @@
 //! Requests that a target declines without running them, and late second copies of such responses.
 
 use hazeltiller_standin::{behaviour, target};
-use hazeltiller_testkit::fleet;
+use hazeltiller_testkit::{fleet, wait};
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
 
@@ -130,6 +130,27 @@
     }
 }
 
+/// A target's own 503 to a request whose body can't be sent again was reported as not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn unproven_resend() {
+    let mut fleet = support::start_small_fleet().await;
+    let behaviour = behaviour::StandInBehaviour {
+        real_slots: Some(0),
+        ..behaviour::StandInBehaviour::default()
+    };
+    for name in ["target-1", "target-2"] {
+        support::start_stand_in_with(&mut fleet, "node-1", name, behaviour.clone()).await;
+    }
+    let outcome = wait::until("a body that is not sent again", || async {
+        let body = Full::from(vec![0; 8 << 20]);
+        let request = Request::get("/vehicles/7").body(body).ok()?;
+        let response = fleet.send_request("node-1", "callers", request).await?;
+        let is_kept = response.headers().get("hazeltiller-code")? != "HZ3017";
+        (!is_kept).then(|| response.headers()["hazeltiller-outcome"].clone())
+    });
+    assert_eq!(outcome.await, "unknown");
+}
+
 /// What a caller was told.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum CallerOutcome {
