Dissemination: a version that bypassed the parent is announced at once

Cause: a node whose parent answers but is behind (a control cut off from the others, or with a log that lags), or is silent, learns of a version by periodic probes alone, one hop a second. The bound is 2 s.

Change: a node that takes a version from another process than its parent tells all gossip partners at once, and every node that takes a version tells its partners in other data centres, of which there are two a pair. The message is the rumour that exists, without records.

The fake network can tell senders that a cut link was lost.

--- a/crates/engine/src/dissemination/version.rs
+++ b/crates/engine/src/dissemination/version.rs
@@ -7,7 +7,7 @@
 use hazeltiller_units::ids;
 use hazeltiller_wire::{codec, dissemination as wire, membership as wire_membership};
 
-use crate::{dissemination, event, reducer};
+use crate::{dissemination, event, membership::gossip, reducer};
 
 /// Maximum size of the history, in bytes of encoded steps.
 const MAX_HISTORY_BYTES: usize = 1 << 20;
@@ -95,7 +95,7 @@
 ) {
     let is_next = committed.state.version == state.dissemination.version().next();
     let steps = is_next.then(|| vec![committed.step]);
-    activate(state, committed.state, steps, output);
+    activate(state, None, committed.state, steps, output);
 }
 
 /// Accepts a version that this control's log reached without the individual changes, by a snapshot.
@@ -104,7 +104,7 @@
     restored: catalogue_state::CatalogueState,
     output: &mut event::ReducerOutput,
 ) {
-    activate(state, restored, None, output);
+    activate(state, None, restored, None, output);
 }
 
 /// Handles a delta. Steps already applied are skipped, since deltas may cross on the way. If the
@@ -130,7 +130,7 @@
     delta.steps.drain(..(held.0 - delta.base.0) as usize);
     delta.base = held;
     match delta.apply(&state.dissemination.in_force) {
-        Ok(updated) => activate(state, updated, Some(delta.steps), output),
+        Ok(updated) => activate(state, Some(from), updated, Some(delta.steps), output),
         Err(_invalid) => {
             report_invalid(state, from, output);
             request_update(state, from, true, output);
@@ -157,7 +157,7 @@
                 && snapshot.has_valid_digest()
                 && check::check_entries(&snapshot.entries).is_empty() =>
         {
-            activate(state, snapshot, None, output);
+            activate(state, Some(from), snapshot, None, output);
         }
         _ => report_invalid(state, from, output),
     }
@@ -193,6 +193,7 @@
 /// floor, and passes it on. Without the steps that led to it, the history is cleared.
 fn activate(
     state: &mut reducer::EngineState,
+    from: Option<&wire_membership::PeerIdentity>,
     updated: catalogue_state::CatalogueState,
     steps: Option<Vec<delta::DeltaStep>>,
     output: &mut event::ReducerOutput,
@@ -215,4 +216,9 @@
     dissemination::pull::clear_request(state);
     dissemination::child::update_all(state, output);
     dissemination::report::send_progress(state, output);
+    // The neighbours of a node that its parent did not update may have a stale parent as well, and
+    // would hear of the version only by one probe after the other.
+    let parent = state.dissemination.parent.address;
+    let is_bypassed = from.is_some_and(|from| parent != Some(from.address));
+    gossip::announce_version(state, is_bypassed, output);
 }
--- a/crates/engine/src/membership/gossip.rs
+++ b/crates/engine/src/membership/gossip.rs
@@ -153,6 +153,31 @@
     }
 }
 
+/// Tells partners of the version that has just come into force here: those in other data centres,
+/// and with `to_all` those in the own one as well.
+pub fn announce_version(
+    state: &reducer::EngineState,
+    to_all: bool,
+    output: &mut event::ReducerOutput,
+) {
+    let own = &state.settings.identity;
+    let membership = &state.membership;
+    if own.is_control || membership.own.has_left {
+        return;
+    }
+    let is_told = |name: &ids::InstanceName| {
+        let member = membership.members.get(name);
+        let is_remote =
+            |known: &table::KnownMember| known.record.identity.data_centre != own.data_centre;
+        to_all || member.is_some_and(is_remote)
+    };
+    let partners = membership.partners.partners.iter();
+    for (_, to) in partners.filter(|(name, _)| is_told(name)) {
+        let rumour = wire::MembershipMessage::Rumour(gossip_header(state));
+        send(output, *to, rumour);
+    }
+}
+
 /// Returns how many of the pending items the next rumour carries.
 fn rumour_items(pending: usize) -> usize {
     pending
--- a/crates/testkit/src/reducers.rs
+++ b/crates/testkit/src/reducers.rs
@@ -111,6 +111,9 @@
     pub loss_rate: f64,
     /// Probability that a message is delivered twice.
     pub duplication_rate: f64,
+    /// Time after which the sender of a message that the filter drops loses its link; `None` leaves
+    /// links open.
+    pub link_timeout: Option<Duration>,
     /// Whether frames are encoded and counted.
     pub counts_bytes: bool,
     /// Effects on calls since the list was last cleared.
@@ -121,6 +124,8 @@
     queue: BinaryHeap<Reverse<QueuedDelivery>>,
     /// Time of the last delivery on each link, which later messages do not overtake.
     last_delivery: IndexMap<(SocketAddr, SocketAddr), u64>,
+    /// Time at which each link that is cut counts as lost.
+    link_losses: IndexMap<(SocketAddr, SocketAddr), u64>,
     random: ChaCha8Rng,
     /// Time since the start of the simulation, in microseconds.
     now_micros: u64,
@@ -149,6 +154,7 @@
             tunables,
             loss_rate: 0.0,
             duplication_rate: 0.0,
+            link_timeout: None,
             counts_bytes: false,
             call_effects: Vec::new(),
             names: IndexMap::new(),
@@ -156,6 +162,7 @@
             drop_filter: Box::new(|_, _| false),
             queue: BinaryHeap::new(),
             last_delivery: IndexMap::new(),
+            link_losses: IndexMap::new(),
             random: ChaCha8Rng::seed_from_u64(seed),
             now_micros: 0,
             order: 0,
@@ -481,7 +488,10 @@
             );
         }
         let is_dropped = (self.drop_filter)(&sender, &receiver.state.settings.identity);
-        if is_dropped || self.random.random_bool(self.loss_rate) {
+        if is_dropped {
+            return self.lose_link(sender.address, to);
+        }
+        if self.random.random_bool(self.loss_rate) {
             return;
         }
         let copies = 1 + u32::from(self.random.random_bool(self.duplication_rate));
@@ -497,6 +507,22 @@
         }
     }
 
+    /// Tells the sender of a dropped message of the loss of its link, once per loss.
+    fn lose_link(&mut self, sender: SocketAddr, to: SocketAddr) {
+        let Some(timeout) = self.link_timeout else {
+            return;
+        };
+        let known = self.link_losses.get(&(sender, to));
+        if known.is_some_and(|lost_at| *lost_at > self.now_micros) {
+            return;
+        }
+        let lost_at = self.now_micros + timeout.as_micros() as u64;
+        self.link_losses.insert((sender, to), lost_at);
+        let event = event::Event::LinkLost { address: to };
+        let delivery = DeliveredInput::Event(Box::new(event));
+        self.queue_at(lost_at, sender, None, delivery);
+    }
+
     fn count_bytes(&mut self, from: &str, message: &message::PeerMessage) {
         let category = message.category();
         let frame = message::PeerFrame {
