--- a/crates/engine/src/dissemination/version.rs
+++ b/crates/engine/src/dissemination/version.rs
@@ -7,7 +7,7 @@
 use hazeltiller_units::ids;
 use hazeltiller_wire::{codec, dissemination as wire, membership as wire_membership};
 
-use crate::{dissemination, event, reducer};
+use crate::{dissemination, event, membership::gossip, reducer};
 
 /// Maximum size of the history, in bytes of encoded steps.
 const MAX_HISTORY_BYTES: usize = 1 << 20;
@@ -228,6 +228,13 @@
         None => history.clear(),
     }
     state.dissemination.in_force = Arc::new(updated);
+    let is_bypassed = matches!(
+        origin,
+        dissemination::VersionOrigin::Peer {
+            is_parent: false,
+            ..
+        }
+    );
     let effect = dissemination::DisseminationEffect::InForce {
         state: Arc::clone(&state.dissemination.in_force),
         origin,
@@ -237,4 +244,7 @@
     dissemination::pull::clear_request(state);
     dissemination::child::update_all(state, output);
     dissemination::report::send_progress(state, output);
+    // The neighbours of a node that its parent did not update may have a stale parent as well, and
+    // would hear of the version only by one probe after the other.
+    gossip::announce_version(state, is_bypassed, output);
 }
