Bytes that a target sends unasked are no crash; tests of the other places

After a lost connection the node connects to the target to see whether it still listens. A byte that arrived counted like a closed connection, so the requests of a target that sends bytes at accept were quarantined as the cause of crashes, from the second round on. Only an end or an error means closed now.

--- a/crates/daemon/src/pool/targets.rs
+++ b/crates/daemon/src/pool/targets.rs
@@ -104,15 +104,16 @@
     }
 }
 
-/// Returns whether a target accepts a connection and keeps it open. The listener of a crashing
-/// target may still accept connections for a moment.
+/// Returns whether a target accepts a connection and does not close it. The listener of a crashing
+/// target may still accept connections for a moment; one that sends bytes unasked is listening.
 pub async fn is_listening(address: SocketAddr) -> bool {
     let connecting = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
     let Ok(Ok(mut stream)) = connecting.await else {
         return false;
     };
-    let closed = time::timeout(CRASH_CLOSE_TIMEOUT, stream.read_u8()).await;
-    closed.is_err()
+    let mut unasked = [0];
+    let read = time::timeout(CRASH_CLOSE_TIMEOUT, stream.read(&mut unasked)).await;
+    matches!(read, Err(_) | Ok(Ok(1..)))
 }
 
 async fn connect_target(to: SocketAddr) -> Result<TargetConnection, SendError> {
--- a/tests/all/endless.rs
+++ b/tests/all/endless.rs
@@ -1,5 +1,7 @@
 //! Bytes without end from a target: in heads, bodies, between responses and in health probes.
 
+use std::net::SocketAddr;
+
 use hazeltiller_standin::{
     behaviour,
     endless::{EndlessPlace, EndlessScript},
@@ -8,6 +10,11 @@
 use hazeltiller_testkit::{fleet, wait};
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
+use serde_json::json;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
 
 use crate::support;
 
@@ -32,6 +39,21 @@
 struct EndlessScene {
     fleet: fleet::Fleet,
     target: target::StandInTarget,
+    callers: SocketAddr,
+}
+
+/// What a caller received on a connection.
+#[derive(Debug, Default)]
+struct ReceivedResponse {
+    bytes: usize,
+    /// The last bytes.
+    text: String,
+}
+
+impl ReceivedResponse {
+    fn is_complete(&self) -> bool {
+        self.text.ends_with("0\r\n\r\n")
+    }
 }
 
 impl EndlessScene {
@@ -39,7 +61,12 @@
         let mut fleet = support::start_small_fleet().await;
         let target = support::start_stand_in(&mut fleet, "node-1", "target-1").await;
         support::wait_for_routing(&fleet, "node-1").await;
-        Self { fleet, target }
+        let callers = fleet.instance("node-1").addresses["callers"];
+        Self {
+            fleet,
+            target,
+            callers,
+        }
     }
 
     /// Starts a scene in which no request ends by a timeout.
@@ -69,6 +96,34 @@
         (response.status(), outcome.unwrap_or_default().to_owned())
     }
 
+    /// Sends a request that has half a second and returns its connection.
+    async fn request(&self, path: &str) -> TcpStream {
+        let callers = self.callers;
+        let request = format!(
+            "GET {path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\
+             hazeltiller-deadline-ms: 500\r\n\r\n"
+        );
+        let mut stream = TcpStream::connect(callers).await.expect("the node listens");
+        let written = stream.write_all(request.as_bytes()).await;
+        written.expect("the node reads the request");
+        stream
+    }
+
+    /// Sends such a request and reads what comes until the connection is closed.
+    async fn read_response(&self, path: &str) -> ReceivedResponse {
+        let mut stream = self.request(path).await;
+        let mut received = ReceivedResponse::default();
+        let mut buffer = vec![0; 65_536];
+        let reading = async {
+            while let Ok(count @ 1..) = stream.read(&mut buffer).await {
+                received.bytes += count;
+                received.text = String::from_utf8_lossy(&buffer[..count]).into_owned();
+            }
+        };
+        wait::complete("the end of the response", reading).await;
+        received
+    }
+
     /// Waits until each connection with bytes without end has been closed, checks the node's memory
     /// and that it serves the next request.
     async fn assert_over(&self, place: EndlessPlace) {
@@ -113,6 +168,15 @@
     }
 }
 
+/// Sends a few bytes ten times a second.
+fn slow_script(place: EndlessPlace) -> EndlessScript {
+    EndlessScript {
+        piece_bytes: 4,
+        piece_pause_ms: 100,
+        ..script(place)
+    }
+}
+
 /// The rest of a declined response was collected for 200 ms, however many bytes that took.
 #[tokio::test(flavor = "multi_thread")]
 async fn endless_declines() {
@@ -142,3 +206,109 @@
         scene.assert_over(place).await;
     }
 }
+
+/// The deadline of a response was looked at only while no bytes were there to be passed on.
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_bodies() {
+    let scene = EndlessScene::start().await;
+    for place in [EndlessPlace::Chunks, EndlessPlace::Body] {
+        scene.set_script(Some(script(place)));
+        let received = scene.read_response("/vehicles/endless").await;
+        assert!(received.bytes > 0, "{place:?}");
+        assert!(!received.is_complete(), "{place:?} looks complete");
+        scene.assert_over(place).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_ends() {
+    let scene = EndlessScene::start_untimed().await;
+    for place in [EndlessPlace::Surplus, EndlessPlace::Idle] {
+        scene.set_script(Some(script(place)));
+        let (status, _) = scene.send("/vehicles/complete").await;
+        assert_eq!(status, StatusCode::OK, "{place:?}");
+        scene.assert_over(place).await;
+    }
+    for place in [EndlessPlace::ChunkExtension, EndlessPlace::Trailers] {
+        scene.set_script(Some(script(place)));
+        let received = scene.read_response("/vehicles/incomplete").await;
+        assert!(!received.is_complete(), "{place:?} looks complete");
+        scene.assert_over(place).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_bytes() {
+    let scene = EndlessScene::start().await;
+    let table = [
+        (EndlessPlace::Head, "504"),
+        (EndlessPlace::Interim, "504"),
+        (EndlessPlace::DeclinedBody, "503"),
+        (EndlessPlace::Body, "504"),
+    ];
+    for (place, status) in table {
+        scene.set_script(Some(slow_script(place)));
+        let received = scene.read_response("/vehicles/slow").await;
+        assert!(
+            received.text.contains(status),
+            "{place:?}: {}",
+            received.text
+        );
+        scene.assert_over(place).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_probes() {
+    let scene = EndlessScene::start().await;
+    let mut service = support::first_change()["put"][2].clone();
+    service["probe"] = json!({"path": "/health", "period_ms": 100});
+    let change = json!({"change_id": "probe", "expects": 1, "put": [service], "remove": []});
+    let response = scene.fleet.change("control-1", &change).await;
+    assert_eq!(response.expect("a response").0, 200);
+    let scripts = NO_RESPONSE.map(script).into_iter();
+    for script in scripts.chain([
+        script(EndlessPlace::Body),
+        slow_script(EndlessPlace::Interim),
+    ]) {
+        let begun = scene.target.endless().begun();
+        let script = EndlessScript {
+            interval: 0,
+            is_at_probes: true,
+            ..script
+        };
+        scene.set_script(Some(script));
+        wait::until("several probes", || async {
+            (scene.target.endless().begun() > begun + 3).then_some(())
+        })
+        .await;
+        scene.assert_over(script.place).await;
+    }
+}
+
+/// A target that sent bytes unasked counted as one that no longer listens, and its request as the
+/// cause of a crash.
+#[tokio::test(flavor = "multi_thread")]
+async fn unasked_bytes() {
+    let mut fleet = support::start_two_nodes().await;
+    let behaviour = behaviour::StandInBehaviour {
+        endless: Some(script(EndlessPlace::Accept)),
+        ..behaviour::StandInBehaviour::default()
+    };
+    for node in ["node-1", "node-2"] {
+        let name = format!("at-{node}");
+        support::start_stand_in_with(&mut fleet, node, &name, behaviour.clone()).await;
+        support::wait_for_routing(&fleet, node).await;
+    }
+    for round in 0..20 {
+        for node in ["node-1", "node-2"] {
+            let request = Request::post("/certificates/unasked").body(Full::from("body"));
+            let request = request.expect("a valid request");
+            let response = fleet.send_request(node, "callers", request).await;
+            let response = response.expect("the node responds");
+            let code = response.headers().get("hazeltiller-code");
+            let is_quarantined = code.is_some_and(|code| code == "HZ3008");
+            assert!(!is_quarantined, "quarantined in round {round}");
+        }
+    }
+}
