A response ends at its deadline also when its caller does not read it

The deadline of a streamed response was looked at when its body was polled and had nothing to pass on. With a caller that reads nothing nobody polls it, so the target's slot and connection were held for as long as the caller liked; a body that always has bytes met no deadline either. A task now ends the response at its deadline. The body has moved to a module of its own.

Evidence: endless::unread_bodies, red before (the target's connection was open after 60 s).

--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -24,7 +24,6 @@
     body::{Body, Frame, Incoming, SizeHint},
     http::response,
 };
-use snafu::Snafu;
 use tokio::{
     sync::oneshot,
     time::{self, Instant},
@@ -32,6 +31,7 @@
 
 mod places;
 mod remainder;
+mod response_body;
 
 use crate::{dialect, engine_actor, http, pool, process, response_buffer, trace};
 
@@ -504,32 +504,17 @@
         let room = http::header_value(room);
         parts.headers.insert(wire::ROOM_HEADER, room);
     }
-    let body = ResponseBody {
+    let streamed = response_body::OpenResponse {
         body,
         status: parts.status,
         address: plan.address,
         guard,
         connection: Some(connection),
-        deadline: Box::pin(time::sleep_until(deadline)),
     };
+    let body = response_body::ResponseBody::new(streamed, deadline);
     Response::from_parts(parts, body.boxed_unsync())
 }
 
-/// Body of a target's response while it is streamed. The slot is freed when it ends or is dropped.
-struct ResponseBody {
-    body: http::StreamBody,
-    status: StatusCode,
-    address: std::net::SocketAddr,
-    guard: RunGuard,
-    connection: Option<pool::TargetConnection>,
-    deadline: Pin<Box<time::Sleep>>,
-}
-
-/// The deadline passed while the response body was being streamed.
-#[derive(Debug, Snafu)]
-#[snafu(display("deadline exceeded before the response body was complete"))]
-struct ResponseTimedOut;
-
 /// A request body that signals, by dropping `completion`, that all of it has been sent.
 struct UploadBody {
     body: http::StreamBody,
@@ -575,56 +560,6 @@
     }
 }
 
-impl ResponseBody {
-    fn finish(&mut self) {
-        self.guard.result = calls::RunResult::Done {
-            status: self.status.as_u16(),
-        };
-        if let Some(connection) = self.connection.take() {
-            let targets = &self.guard.context.targets;
-            targets.put_idle(self.address, connection);
-        }
-    }
-}
-
-impl Body for ResponseBody {
-    type Data = Bytes;
-    type Error = http::BodyError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
-        let polled = Pin::new(&mut self.body).poll_frame(cx);
-        match &polled {
-            Poll::Ready(None) => self.finish(),
-            Poll::Ready(Some(Err(_))) => self.guard.result = calls::RunResult::Truncated,
-            Poll::Pending if self.deadline.as_mut().poll(cx).is_ready() => {
-                self.guard.result = calls::RunResult::Truncated;
-                return Poll::Ready(Some(Err(ResponseTimedOut.into())));
-            }
-            _ => {}
-        }
-        polled.map_err(Into::into)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
-impl Drop for ResponseBody {
-    fn drop(&mut self) {
-        if self.body.is_end_stream() {
-            self.finish();
-        }
-    }
-}
-
 /// Returns the refusal of a call that did not run here and may be retried at another node.
 fn not_run(code: code::ResultCode) -> wire::CallRefusal {
     wire::CallRefusal::not_run(code).elsewhere()
--- a/tests/all/endless.rs
+++ b/tests/all/endless.rs
@@ -207,7 +207,6 @@
     }
 }
 
-/// The deadline of a response was looked at only while no bytes were there to be passed on.
 #[tokio::test(flavor = "multi_thread")]
 async fn endless_bodies() {
     let scene = EndlessScene::start().await;
@@ -220,6 +219,22 @@
     }
 }
 
+/// A caller that did not read its response held the target's slot for longer than the request had.
+#[tokio::test(flavor = "multi_thread")]
+async fn unread_bodies() {
+    let scene = EndlessScene::start().await;
+    for place in [EndlessPlace::Chunks, EndlessPlace::Body] {
+        scene.set_script(Some(script(place)));
+        let stream = scene.request("/vehicles/unread").await;
+        wait::until("bytes without end", || async {
+            (scene.target.endless().begun() > scene.target.endless().ended()).then_some(())
+        })
+        .await;
+        scene.assert_over(place).await;
+        drop(stream);
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn endless_ends() {
     let scene = EndlessScene::start_untimed().await;
