--- a/tests/all/soak.rs
+++ b/tests/all/soak.rs
@@ -6,7 +6,8 @@
 //! agree with the run logs of the targets, catalogue versions never decrease within a process,
 //! targets get no more than the rate limits that they name, nothing from a node that passed their
 //! leaving notice on and nothing after an acknowledged departure, no change on an old label is
-//! accepted and each accepted one is applied, and all requests are served again after the faults.
+//! accepted, each accepted one is applied and in force on every process before the run ends, no
+//! process takes more memory than it may, and all requests are served again after the faults.
 //!
 //! `HAZELTILLER_SOAK_SEEDS=1,2,3` runs these seeds instead of the default ones, and
 //! `HAZELTILLER_SOAK_FAULTS=40` injects that many faults for each.
@@ -29,7 +30,10 @@
 use crate::support;
 
 mod late;
+mod memory;
 mod signals;
+mod targets;
+mod touch;
 
 const CONTROLS: [&str; 3] = ["control-1", "control-2", "control-3"];
 const NODES: [&str; 3] = ["node-1", "node-2", "node-3"];
@@ -103,6 +107,12 @@
     /// When a node was stopped or killed, to be started again.
     node_restarts: Vec<Instant>,
     departures: Vec<late::AcknowledgedDeparture>,
+    /// Highest version made by an acknowledged change.
+    accepted_version: u64,
+    /// Until when a control is out of touch with the others.
+    out_of_touch_until: Instant,
+    /// Highest peak of the memory of the processes of an instance, in kilobytes.
+    memory_peaks: IndexMap<String, u64>,
 }
 
 /// Sends requests one at a time, each to a unique path, until the list of nodes is empty.
@@ -175,6 +185,9 @@
             limits: Vec::new(),
             node_restarts: Vec::new(),
             departures: Vec::new(),
+            accepted_version: 0,
+            out_of_touch_until: Instant::now(),
+            memory_peaks: IndexMap::new(),
         };
         for node in NODES {
             // A restarted node listens where its targets announce themselves.
@@ -407,11 +420,24 @@
         let request = json!({"change_id": format!("change-{label}"), "expects": 0, "put": put,
             "replace": {"label": label, "base": self.label, "document": format!("document {label}")}});
         let answer = time::timeout(Duration::from_secs(8), self.fleet.change(control, &request));
-        if let Ok(Some((200, _))) = answer.await {
-            self.label = label;
+        if let Ok(Some(answer)) = answer.await
+            && let Some(version) = late::accepted_version(&answer)
+        {
+            self.record_accepted(label, version);
         }
     }
 
+    /// Records an acknowledged change. Changes are sent one on top of the other, so that each one
+    /// made a later version than those before.
+    fn record_accepted(&mut self, label: u64, version: u64) {
+        let before = self.accepted_version;
+        assert!(
+            version > before,
+            "label {label} made version {version}, an earlier one {before}"
+        );
+        (self.label, self.accepted_version) = (label, version);
+    }
+
     async fn change_until_accepted(&mut self) {
         let before = self.label;
         let sending = async {
@@ -453,6 +479,7 @@
             .await;
         }
         self.wait_for_rollout_end().await;
+        self.wait_for_same_version().await;
         for node in NODES {
             support::wait_for_routing(&self.fleet, node).await;
         }
@@ -474,10 +501,14 @@
         soak.inject_fault().await;
         soak.inject_late_fault().await;
         soak.check_versions().await;
+        soak.check_memory(seed);
     }
     soak.end_all_limits();
     soak.end_declines();
+    soak.end_endless();
     soak.wait_for_recovery().await;
+    soak.check_memory(seed);
+    println!("seed {seed}: peaks in kB {:?}", soak.memory_peaks);
     soak.check_limits(&tally, seed);
     soak.nodes.send_replace(Vec::new());
     while let Some(ended) = callers.join_next().await {
--- a/tests/all/soak/late.rs
+++ b/tests/all/soak/late.rs
@@ -14,7 +14,7 @@
 
 /// Every request of a declining target with a number that is a multiple of this is declined.
 const DECLINED_INTERVAL: u64 = 5;
-const SMALL_BURST: ChangeBurst = ChangeBurst {
+pub(super) const SMALL_BURST: ChangeBurst = ChangeBurst {
     changes: 6,
     interval: Duration::from_millis(1),
     operators: 1,
@@ -32,7 +32,7 @@
 const INAPPLICABLE_CODE: &str = "HZ4011";
 
 /// Changes that are under way at once, each on top of the one before.
-struct ChangeBurst {
+pub(super) struct ChangeBurst {
     changes: u64,
     /// Time between two sends.
     interval: Duration,
@@ -48,10 +48,14 @@
 
 impl SoakRun {
     pub(super) async fn inject_late_fault(&mut self) {
-        match self.late_random.random_range(0..8) {
+        self.end_endless();
+        match self.late_random.random_range(0..12) {
             0 | 1 => self.decline_twice(),
             2 | 3 => self.depart_and_restart().await,
             4 => self.kill_after_burst().await,
+            5 | 6 => self.decline_most().await,
+            7 | 8 => self.send_endless(),
+            9 => self.lose_touch().await,
             _ => {}
         }
     }
@@ -136,7 +140,29 @@
         let burst = if is_large { LARGE_BURST } else { SMALL_BURST };
         let before = self.label;
         let control = CONTROLS[self.late_random.random_range(0..CONTROLS.len())];
-        let changes: Vec<Value> = (before..before + burst.changes)
+        let unanswered = self.send_burst(control, &burst).await;
+        self.fleet.kill(&CONTROLS).await;
+        let pause = Duration::from_millis(self.late_random.random_range(50..900));
+        time::sleep(pause).await;
+        self.fleet.start(&CONTROLS, &[]).await;
+        let label = self.label;
+        if label >= before + 2 {
+            let late = change(label + 1, label - 1, burst.operators);
+            let accepted = self.judge(control, &late).await;
+            assert_eq!(
+                accepted,
+                None,
+                "a change on label {} was accepted",
+                label - 1
+            );
+        }
+        self.settle(control, &unanswered).await;
+    }
+
+    /// Sends the changes of a burst and returns those after the last accepted one.
+    pub(super) async fn send_burst(&mut self, control: &str, burst: &ChangeBurst) -> Vec<Value> {
+        let before = self.label;
+        let mut changes: Vec<Value> = (before..before + burst.changes)
             .map(|base| change(base + 1, base, burst.operators))
             .collect();
         let fleet = &self.fleet;
@@ -147,46 +173,46 @@
                 time::sleep(burst.interval * index as u32).await;
                 let sent = fleet.change(control, change);
                 let answer = time::timeout(CHANGE_TIMEOUT, sent).await;
-                matches!(answer, Ok(Some((200, _))))
+                accepted_version(&answer.ok()??)
             });
         let accepted = futures_util::future::join_all(sending).await;
-        for (label, is_accepted) in (before + 1..).zip(&accepted) {
-            if *is_accepted {
-                self.label = label;
+        for (label, version) in (before + 1..).zip(accepted) {
+            if let Some(version) = version {
+                self.record_accepted(label, version);
             }
         }
-        self.fleet.kill(&CONTROLS).await;
-        let pause = Duration::from_millis(self.late_random.random_range(50..900));
-        time::sleep(pause).await;
-        self.fleet.start(&CONTROLS, &[]).await;
-        let label = self.label;
-        if label >= before + 2 {
-            let late = change(label + 1, label - 1, burst.operators);
-            let is_accepted = self.judge(control, &late).await;
-            assert!(!is_accepted, "a change on label {} was accepted", label - 1);
-        }
-        // A change whose answer was lost may be in force, and the next one builds on it.
-        let unanswered = changes.iter().skip((label - before) as usize);
-        for (label, change) in (label + 1..).zip(unanswered) {
-            if self.judge(control, change).await {
-                self.label = label;
+        changes.split_off((self.label - before) as usize)
+    }
+
+    /// Sends the changes of a burst that had no clear answer again. One of them may be in force, and
+    /// the next one builds on it.
+    pub(super) async fn settle(&mut self, control: &str, unanswered: &[Value]) {
+        for (label, change) in (self.label + 1..).zip(unanswered) {
+            if let Some(version) = self.judge(control, change).await {
+                self.record_accepted(label, version);
             }
         }
     }
 
-    /// Sends a change until it is accepted or refused for its label, and returns whether it was
-    /// accepted. A group without a leader judges nothing.
-    async fn judge(&self, control: &str, change: &Value) -> bool {
+    /// Sends a change until it is accepted or refused for its label, and returns the version that it
+    /// made if it was accepted. A group without a leader judges nothing.
+    async fn judge(&self, control: &str, change: &Value) -> Option<u64> {
         wait::until("a judgement of a change", || async {
             let sent = self.fleet.change(control, change);
-            let (status, document) = time::timeout(CHANGE_TIMEOUT, sent).await.ok()??;
-            let is_accepted = status == 200;
-            (is_accepted || document["code"] == CONFLICT_CODE).then_some(is_accepted)
+            let answer = time::timeout(CHANGE_TIMEOUT, sent).await.ok()??;
+            let accepted = accepted_version(&answer);
+            (accepted.is_some() || answer.1["code"] == CONFLICT_CODE).then_some(accepted)
         })
         .await
     }
 }
 
+/// Returns the version that an accepted change made.
+pub(super) fn accepted_version((status, document): &(u16, Value)) -> Option<u64> {
+    let version = document["version"].as_u64();
+    version.filter(|_| *status == 200)
+}
+
 fn change(label: u64, base: u64, operators: usize) -> Value {
     let mut put = support::first_change()["put"].clone();
     let entries = put.as_array_mut().expect("a JSON array");
--- /dev/null
+++ b/tests/all/soak/targets.rs
@@ -0,0 +1,67 @@
+//! Targets of the soak in trouble: most of them decline, or some send bytes without end.
+
+use hazeltiller_standin::{behaviour, endless};
+use rand::RngExt;
+
+use super::{NODES, SoakRun};
+
+/// Places of bytes without end in which the caller gets no complete response.
+const ENDLESS_PLACES: [endless::EndlessPlace; 10] = [
+    endless::EndlessPlace::Accept,
+    endless::EndlessPlace::Garbage,
+    endless::EndlessPlace::Head,
+    endless::EndlessPlace::Interim,
+    endless::EndlessPlace::DeclinedChunks,
+    endless::EndlessPlace::DeclinedBody,
+    endless::EndlessPlace::DeclinedSurplus,
+    endless::EndlessPlace::DeclinedCopies,
+    endless::EndlessPlace::ChunkExtension,
+    endless::EndlessPlace::Trailers,
+];
+
+impl SoakRun {
+    /// Adds targets and makes all but one decline a third to a half of their requests and repeat the
+    /// responses to these late, until the end of the faults.
+    pub(super) async fn decline_most(&mut self) {
+        for node in NODES {
+            self.add_target(node).await;
+        }
+        let declining = self.targets.len() - 1;
+        for target in &self.targets[..declining] {
+            target.set_behaviour(behaviour::StandInBehaviour {
+                declined_interval: self.late_random.random_range(2..=3),
+                is_decline_repeated: true,
+                ..target.behaviour()
+            });
+        }
+    }
+
+    /// Makes some targets send bytes without end, until the next late fault.
+    pub(super) fn send_endless(&mut self) {
+        for _ in 0..self.late_random.random_range(1..=3) {
+            let target = &self.targets[self.late_random.random_range(0..self.targets.len())];
+            let place = ENDLESS_PLACES[self.late_random.random_range(0..ENDLESS_PLACES.len())];
+            let script = endless::EndlessScript {
+                place,
+                interval: self.late_random.random_range(1..=5),
+                is_at_probes: self.late_random.random_bool(0.5),
+                piece_bytes: 0,
+                piece_pause_ms: 0,
+            };
+            println!("{} sends without end: {script:?}", target.settings().name);
+            target.set_behaviour(behaviour::StandInBehaviour {
+                endless: Some(script),
+                ..target.behaviour()
+            });
+        }
+    }
+
+    pub(super) fn end_endless(&self) {
+        for target in &self.targets {
+            target.set_behaviour(behaviour::StandInBehaviour {
+                endless: None,
+                ..target.behaviour()
+            });
+        }
+    }
+}
