--- a/crates/standin/src/behaviour.rs
+++ b/crates/standin/src/behaviour.rs
@@ -96,6 +96,9 @@
     pub is_decline_repeated: bool,
     /// Bytes without end, if any.
     pub endless: Option<endless::EndlessScript>,
+    /// Echoes the id of each request that it runs, and sends the response a second time in the same
+    /// way if the number of the request is a multiple of this. 0 does neither.
+    pub repeated_interval: u64,
 }
 
 impl Default for StandInBehaviour {
@@ -118,6 +121,7 @@
             declined_interval: 0,
             is_decline_repeated: false,
             endless: None,
+            repeated_interval: 0,
         }
     }
 }
--- a/tests/all/soak/late.rs
+++ b/tests/all/soak/late.rs
@@ -78,6 +78,7 @@
         for target in &self.targets {
             target.set_behaviour(behaviour::StandInBehaviour {
                 declined_interval: 0,
+                repeated_interval: 0,
                 ..target.behaviour()
             });
         }
--- a/tests/all/soak/targets.rs
+++ b/tests/all/soak/targets.rs
@@ -20,17 +20,19 @@
 ];
 
 impl SoakRun {
-    /// Adds targets and makes all but one decline a third to a half of their requests and repeat the
-    /// responses to these late, until the end of the faults.
+    /// Adds targets and makes all but one decline a third to a half of their requests, and all repeat
+    /// most of their responses late, until the end of the faults.
     pub(super) async fn decline_most(&mut self) {
         for node in NODES {
             self.add_target(node).await;
         }
-        let declining = self.targets.len() - 1;
-        for target in &self.targets[..declining] {
+        let last = self.targets.len() - 1;
+        for (index, target) in self.targets.iter().enumerate() {
+            let declined_interval = self.late_random.random_range(2..=3);
             target.set_behaviour(behaviour::StandInBehaviour {
-                declined_interval: self.late_random.random_range(2..=3),
+                declined_interval: if index < last { declined_interval } else { 0 },
                 is_decline_repeated: true,
+                repeated_interval: self.late_random.random_range(1..=2),
                 ..target.behaviour()
             });
         }
