--- a/crates/engine/tests/dissemination.rs
+++ b/crates/engine/tests/dissemination.rs
@@ -5,7 +5,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use hazeltiller_engine::{dissemination, dissemination::convergence, event, settings};
+use hazeltiller_engine::{dissemination, dissemination::convergence, event, reducer, settings};
 use hazeltiller_testkit::{entries, node, reducers};
 use hazeltiller_units::ids;
 use hazeltiller_wire::{dissemination as wire, membership, message};
@@ -161,6 +161,45 @@
     assert_settles(&mut fleet, &names, SETTLE_TIMEOUT);
 }
 
+/// A version tells whether the parent sent it, and for how long gossip had named a later one.
+#[test]
+fn version_origins() {
+    const LAG: Duration = Duration::from_millis(700);
+    let (mut fleet, names) = settled_fleet(22, 6);
+    let parent = parent_of(&fleet, &names[0]);
+    let mut state = fleet.processes[&names[0]].state.clone();
+    let others = fleet.processes.values();
+    let mut others = others.map(|process| process.state.settings.identity.clone());
+    let is_other =
+        |it: &membership::PeerIdentity| *it != parent && it.instance.as_str() != names[0];
+    let other = others.find(is_other).expect("there are other processes");
+    for (slots, from, is_parent) in [(5, &parent, true), (6, &other, false)] {
+        change_slots(&mut fleet, slots);
+        let held = membership::VersionSummary {
+            version: fleet.accepted.version,
+            ..membership::VersionSummary::default()
+        };
+        dissemination::observe_version(&mut state, &other, held);
+        let packed = wire::PackedCatalogue::pack(&fleet.accepted);
+        let message = wire::DisseminationMessage::Snapshot(packed);
+        let now = state.now + LAG;
+        let effects = reducer::reduce(&mut state, now, received(from.clone(), message));
+        let in_force = effects.iter().find_map(|effect| match effect {
+            event::Effect::Dissemination(dissemination::DisseminationEffect::InForce {
+                origin,
+                behind,
+                ..
+            }) => Some((origin.clone(), *behind)),
+            _ => None,
+        });
+        let origin = dissemination::VersionOrigin::Peer {
+            from: from.instance.clone(),
+            is_parent,
+        };
+        assert_eq!(in_force, Some((origin, Some(LAG))));
+    }
+}
+
 #[test]
 fn crossed_deltas() {
     let (mut fleet, names) = settled_fleet(21, 6);
