Calls: a node that knows it lags doesn't tell a caller that a route doesn't exist

A 404 or 401 is final for them; none sends the request again.

Cause: a node judged by the catalogue that it held, also when gossip had told it that a later one exists.

Change: such a node refuses with HZ3029, not run, and when to retry. It ends as soon as the node takes a later version. A node that has heard of none answers as before.

Measured: routing::outdated_not_final; the code before knows RouteNotFound only. It makes the answer of a late node harmless, not the node punctual.

--- a/crates/engine/src/calls/ingress.rs
+++ b/crates/engine/src/calls/ingress.rs
@@ -8,15 +8,16 @@
 
 use super::attributes;
 use crate::{
-    admission, allowance, calls, dependencies, event, health, ledger, organisations, quarantine,
-    reducer, retry, returns, rollout, routing, settings,
+    admission, allowance, calls, dependencies, dissemination, event, health, ledger, organisations,
+    quarantine, reducer, retry, returns, rollout, routing, settings,
 };
 
 /// Bounds of the random factor that is applied to a retry delay.
 const MIN_RETRY_JITTER: f64 = 0.75;
 const MAX_RETRY_JITTER: f64 = 1.5;
 
-/// Retry delay of a call to a node that holds no catalogue yet because it has just started.
+/// Retry delay of a call to a node that holds no catalogue yet because it has just started, or not
+/// the latest.
 const CATALOGUE_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Retry delay of a call for which no target is known: targets that start or stop announce
 /// themselves within about this time.
@@ -32,8 +33,12 @@
     let record = match resolve_route(state, &arrival) {
         Ok(record) => record,
         Err(code) => {
+            let code = current_code(state, code);
             let mut refusal = ledger::early_refusal(&arrival, code);
-            if code == code::ResultCode::CatalogueMissing {
+            if matches!(
+                code,
+                code::ResultCode::CatalogueMissing | code::ResultCode::CatalogueOutdated
+            ) {
                 refusal.retry_after_ms =
                     add_jitter(state, CATALOGUE_RETRY_DELAY.as_millis() as u32);
             }
@@ -51,6 +56,19 @@
     }
 }
 
+/// Returns the code for a request that the catalogue held does not allow. A node that lags must not
+/// tell a caller for good that a route or key does not exist: a later catalogue may have it.
+fn current_code(state: &reducer::EngineState, code: code::ResultCode) -> code::ResultCode {
+    match code {
+        code::ResultCode::RouteNotFound | code::ResultCode::KeyUnknown
+            if dissemination::pull::is_behind(state) =>
+        {
+            code::ResultCode::CatalogueOutdated
+        }
+        _ => code,
+    }
+}
+
 /// Claims a call if required, and otherwise makes its first attempt.
 pub fn claim(
     state: &mut reducer::EngineState,
--- a/crates/engine/src/dissemination/pull.rs
+++ b/crates/engine/src/dissemination/pull.rs
@@ -94,6 +94,11 @@
     );
 }
 
+/// Returns whether a later version than the local one is known.
+pub fn is_behind(state: &reducer::EngineState) -> bool {
+    state.dissemination.pull.behind_since.is_some()
+}
+
 /// Returns for how long a later version than the local one has been known, and begins anew.
 pub fn take_lag(state: &mut reducer::EngineState) -> Option<Duration> {
     let since = state.dissemination.pull.behind_since.take()?;
--- a/crates/engine/tests/routing.rs
+++ b/crates/engine/tests/routing.rs
@@ -2,10 +2,10 @@
 
 use std::{sync::Arc, time::Duration};
 
-use hazeltiller_engine::{calls, routing::index};
+use hazeltiller_engine::{calls, event, routing::index};
 use hazeltiller_testkit::node;
 use hazeltiller_units::{code, ids};
-use hazeltiller_wire::calls as wire;
+use hazeltiller_wire::{calls as wire, membership, message};
 use indexmap::IndexMap;
 use serde_json::{Value, json};
 
@@ -287,3 +287,30 @@
         );
     }
 }
+
+/// A node that had heard of a later catalogue told callers that a route which it lacked did not exist.
+#[test]
+fn outdated_not_final() {
+    let entries = json!(&entries().as_array().expect("a JSON array")[..3]);
+    let mut node = node::NodeReducer::new("node-1", "brasov-a", &entries);
+    let held = node.state.dissemination.in_force.version;
+    let mut refusal = |node: &mut node::NodeReducer| {
+        let arrival = node::arrival(1, "/vehicles");
+        let effects = node.call(calls::CallEvent::Arrived(arrival));
+        let [calls::CallEffect::Refuse(_, refusal)] = effects.as_slice() else {
+            panic!("the node has no route: {effects:?}");
+        };
+        refusal.clone()
+    };
+    assert_eq!(refusal(&mut node).code, code::ResultCode::RouteNotFound);
+    let mut gossip = membership::GossipMessage::default();
+    gossip.held.version = held.next();
+    node.reduce(event::Event::Received {
+        from: node::identity("node-2", "brasov-a", "ro-centru"),
+        message: message::PeerMessage::Membership(membership::MembershipMessage::Rumour(gossip)),
+    });
+    let outdated = refusal(&mut node);
+    assert_eq!(outdated.code, code::ResultCode::CatalogueOutdated);
+    assert_eq!(outdated.outcome, wire::CallOutcome::NotRun);
+    assert!(outdated.retry_after_ms > 0, "{outdated:?}");
+}
--- a/crates/units/src/code.rs
+++ b/crates/units/src/code.rs
@@ -96,6 +96,7 @@
     AllowanceExceeded = 3025, "the organisation is over its allowance", "retry after the time given in the response";
     TargetLimited = 3026, "every target that could take the call is at the rate limit that it named", "retry after the time given in the response";
     DependencySaturated = 3028, "a service that runs of the route call has no room for their calls", "retry after the time given in the response";
+    CatalogueOutdated = 3029, "no route or key of the catalogue held matches, and a later catalogue is known to exist", "retry after the time given in the response";
     QuorumMissing = 4001, "no majority of the control group can be reached", "resend the change when a majority of the controls is reachable";
     OutcomeUnknown = 4002, "the change may or may not have been accepted", "resend it with the same change id";
     LeaderUnknown = 4003, "the control group has no leader at the moment", "resend the change shortly";
