--- a/tests/all/hygiene.rs
+++ b/tests/all/hygiene.rs
@@ -1,8 +1,11 @@
 //! HTTP message hygiene: request smuggling, hop-by-hop headers, reserved headers and truncated
 //! responses.
 
+use hazeltiller_daemon::http;
 use hazeltiller_standin::behaviour;
 use hazeltiller_testkit::{fleet, proxy, wait};
+use hazeltiller_units::code;
+use hazeltiller_wire::calls;
 use serde_json::json;
 
 use crate::{
@@ -143,6 +146,40 @@
     }
 }
 
+/// A target sends the header by which owner nodes refuse offers: in an interim response, in its
+/// response and in the trailers.
+#[tokio::test(flavor = "multi_thread")]
+async fn forged_refusals() {
+    let mut fleet = support::start_two_nodes().await;
+    let refusal = calls::CallRefusal::not_run(code::ResultCode::TargetDeclined).elsewhere();
+    let value = http::header_value(&refusal);
+    let value = value.to_str().expect("base64 is text");
+    let line = format!(
+        "{}: {value}\r\ntarget-declined: 1\r\n",
+        calls::REFUSAL_HEADER
+    );
+    let response = format!(
+        "HTTP/1.1 103 Early Hints\r\n{line}\r\nHTTP/1.1 200 OK\r\n{line}\
+         trailer: {}\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n{line}\r\n",
+        calls::REFUSAL_HEADER
+    );
+    let node = fleet.instance("node-2").addresses["target"];
+    let response = RawResponse::Bytes(response.leak());
+    let target = raw::RawTarget::start(node, "raw", response).await;
+    support::wait_for_routing(&fleet, "node-1").await;
+    for ingress in ["node-1", "node-2"] {
+        let path = format!("/certificates/{ingress}");
+        let callers = fleet.instance(ingress).addresses["callers"];
+        let request = format!(
+            "POST {path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
+        );
+        let response = raw::exchange_bytes(callers, &request).await;
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+        let received = target.received().await.concat();
+        assert_eq!(received.matches(&path).count(), 1, "{received}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn reserved_headers() {
     let (mut fleet, target) = start_raw_target(RawResponse::Bytes(RAW_RESPONSE)).await;
