--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -3,7 +3,6 @@
 
 use std::{sync::Arc, time::Duration};
 
-use hazeltiller_engine::event;
 use hazeltiller_wire::{codec, handshake as wire, membership, message};
 use http_body_util::BodyExt;
 use hyper::{server::conn::http2, service};
@@ -15,10 +14,12 @@
     time,
 };
 
+mod counted_stream;
+
 use crate::{drain, handshake, links, listener, owner, pool, process, questions};
 
-/// Time for which a stopping node keeps a connection open after its last response, so that the peer
-/// receives the end of that response: what is buffered and under way on a narrow link.
+/// Time without progress after which a stopping node closes a connection whose last response has been
+/// handed over. What is buffered of it goes out as the peer reads, which is slow on a narrow link.
 const FINAL_FLUSH_TIME: Duration = Duration::from_millis(1000);
 
 /// Allowance for the headers that a node adds to those of a caller, in bytes.
@@ -90,11 +91,7 @@
             .bytes
             .count_received(frame.message.category(), bytes);
         context.clock.merge(frame.clock);
-        let event = event::Event::Received {
-            from: from.clone(),
-            message: frame.message,
-        };
-        context.engine.tell(event);
+        context.engine.tell_frame(from.clone(), frame);
         if reader.buffer().is_empty() {
             writer
                 .write_all(&[links::ACK_BYTE])
@@ -139,6 +136,7 @@
         .max_send_buf_size(pool::STREAM_WINDOW_BYTES as usize)
         .max_concurrent_streams(4096);
     let in_flight = context.drain.in_flight();
+    let (stream, written) = counted_stream::CountedStream::new(stream);
     let connection = server.serve_connection(rt::TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let served = tokio::select! {
@@ -148,11 +146,11 @@
             // A peer that is cut off never acknowledges the shutdown of the connection, which must
             // not delay the exit of the process.
             let flushed = async {
-                // The last response may have been handed over just before.
                 loop {
                     open_calls.closed().await;
+                    let written_bytes = written.get();
                     time::sleep(FINAL_FLUSH_TIME).await;
-                    if open_calls.receiver_count() == 0 {
+                    if open_calls.receiver_count() == 0 && written.get() == written_bytes {
                         return;
                     }
                 }
--- a/crates/testkit/src/fleet.rs
+++ b/crates/testkit/src/fleet.rs
@@ -281,6 +281,16 @@
     }
 }
 
+/// Keeps settings, data and logs of a test that fails.
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.folder.disable_cleanup(true);
+            println!("kept {}", self.folder.path().display());
+        }
+    }
+}
+
 fn parse_ready_line(line: &str) -> IndexMap<String, SocketAddr> {
     let pair = |word: &str| {
         let (name, address) = word
