Ledger: a keyed request without a route may have run, whatever its method

A node that finds no route, or has no catalogue, refuses a keyed request before it can look the key up. It said unknown for POST and not-run for GET, although a route may be marked as not idempotent, whose GET runs once: an earlier send may have run. Now every keyed request gets unknown there.

--- a/crates/engine/src/ledger.rs
+++ b/crates/engine/src/ledger.rs
@@ -88,11 +88,7 @@
     arrival: &calls::CallArrival,
     code: code::ResultCode,
 ) -> wire_calls::CallRefusal {
-    let is_safe = matches!(
-        arrival.method.as_str(),
-        "GET" | "HEAD" | "OPTIONS" | "TRACE"
-    );
-    if arrival.key.is_some() && !is_safe {
+    if arrival.key.is_some() {
         wire_calls::CallRefusal::unknown(code)
     } else {
         wire_calls::CallRefusal::not_run(code)
--- a/crates/engine/tests/ledger.rs
+++ b/crates/engine/tests/ledger.rs
@@ -374,6 +374,25 @@
     }
 }
 
+/// A keyed GET that no route was found for was refused as not run, although its route may be one
+/// whose requests run once, and an earlier send may have run.
+#[test]
+fn routeless_keys() {
+    let mut node = node::NodeReducer::new("node-1", "brasov-a", &entries());
+    for method in ["GET", "POST"] {
+        let arrival = calls::CallArrival {
+            method: method.into(),
+            key: Some("key".into()),
+            ..node::arrival(1, "/nowhere")
+        };
+        let effects = node.call(calls::CallEvent::Arrived(arrival));
+        let [calls::CallEffect::Refuse(_, refusal)] = effects.as_slice() else {
+            panic!("{effects:?}");
+        };
+        assert_eq!(refusal.outcome, wire::CallOutcome::Unknown, "{method}");
+    }
+}
+
 proptest! {
     #![proptest_config(config(400))]
 
