--- a/crates/engine/tests/replication.rs
+++ b/crates/engine/tests/replication.rs
@@ -6,6 +6,8 @@
 mod healing;
 #[path = "replication/network.rs"]
 mod network;
+#[path = "replication/racing.rs"]
+mod racing;
 #[path = "replication/rollouts.rs"]
 mod rollouts;
 #[path = "replication/tail.rs"]
--- a/crates/engine/tests/replication/network.rs
+++ b/crates/engine/tests/replication/network.rs
@@ -64,6 +64,18 @@
 pub(crate) struct GroupPlan {
     initial_voters: usize,
     voters: u64,
+    /// Largest number of entries in a message.
+    append_entries: u64,
+}
+
+impl Default for GroupPlan {
+    fn default() -> Self {
+        Self {
+            initial_voters: 0,
+            voters: 0,
+            append_entries: settings::ReplicationTunables::default().append_entries,
+        }
+    }
 }
 
 fn engine_state(
@@ -86,6 +98,7 @@
     tunables.replication.trailing_entries = 4;
     tunables.replication.changes_kept = 10_000;
     tunables.replication.voters = plan.voters;
+    tunables.replication.append_entries = plan.append_entries;
     let state = replication::ReplicationState::recover(log, &tunables.replication);
     let settings = settings::EngineSettings {
         identity,
@@ -105,7 +118,17 @@
     pub(crate) fn new(count: usize) -> Self {
         let plan = GroupPlan {
             initial_voters: count,
-            voters: 0,
+            ..GroupPlan::default()
+        };
+        Self::with_plan(count, plan)
+    }
+
+    /// A group whose messages carry one entry each.
+    pub(crate) fn with_short_messages(count: usize) -> Self {
+        let plan = GroupPlan {
+            initial_voters: count,
+            append_entries: 1,
+            ..GroupPlan::default()
         };
         Self::with_plan(count, plan)
     }
@@ -115,6 +138,7 @@
         let plan = GroupPlan {
             initial_voters: count.min(3),
             voters: 3,
+            ..GroupPlan::default()
         };
         Self::with_plan(count, plan)
     }
