--- a/crates/engine/tests/late_change.rs
+++ b/crates/engine/tests/late_change.rs
@@ -23,6 +23,10 @@
 const CHANGE_BOUND: Duration = Duration::from_secs(2);
 /// Time after which nodes that were cut off must have what was accepted meanwhile.
 const RETURN_BOUND: Duration = Duration::from_secs(3);
+const MANY_HEADS: u64 = 24;
+/// Rate of a link of 2.3 Mbit/s.
+const NODE_LINK_BYTES_PER_S: u64 = 287_500;
+const MANY_ROUTES: usize = 1400;
 const LINK_TIMEOUT: Duration = Duration::from_secs(1);
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(30);
 const SEEDS: std::ops::Range<u64> = 7..10;
@@ -82,17 +86,23 @@
 
 impl ChangeStorm {
     fn new(seed: u64) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        // With many heads the controls feed every node of their data centre.
+        let heads = random.random_bool(0.5).then_some(MANY_HEADS);
+        let count = random.random_range(7..20);
+        Self::with_nodes(seed, heads, count)
+    }
+
+    /// Creates a storm over a fleet with this number of nodes in each data centre.
+    fn with_nodes(seed: u64, heads: Option<u64>, count: usize) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let mut tunables = settings::EngineTunables::default();
-        if random.random_bool(0.5) {
-            // The controls feed every node of their data centre.
-            tunables.dissemination.heads = 24;
-        }
+        tunables.dissemination.heads = heads.unwrap_or(tunables.dissemination.heads);
         let mut fleet = reducers::ReducerFleet::new(seed, tunables, &CONTROLS);
         fleet.link_timeout = random.random_bool(0.5).then_some(LINK_TIMEOUT);
         let mut nodes = Vec::new();
         for centre in CENTRES {
-            nodes.extend(fleet.add_nodes(centre, random.random_range(7..20)));
+            nodes.extend(fleet.add_nodes(centre, count));
         }
         fleet.accept(entries::base(), &ALL_CONTROLS);
         fleet.accept(entries::put_routed_services(&["registru"]), &ALL_CONTROLS);
@@ -236,3 +246,24 @@
     storm.fleet.run(CHANGE_BOUND);
     storm.assert_in_time("lost delta", |_| false, Duration::ZERO);
 }
+
+/// A change of many routes on the narrow links of nodes, most of them below other nodes.
+#[test]
+fn narrow_links() {
+    let mut storm = ChangeStorm::with_nodes(SEEDS.start, Some(4), 10);
+    storm.fleet.node_link_rate = Some(NODE_LINK_BYTES_PER_S);
+    let cut = ControlCut::Controls;
+    storm
+        .fleet
+        .drop_messages(move |from, to| cut.drops(from, to));
+    storm.run(Duration::from_secs(6), cut.majority());
+    storm.fleet.drop_messages(|_, _| false);
+    storm.catch_up();
+    storm.fleet.run(RETURN_BOUND);
+    let version = storm
+        .fleet
+        .accept(entries::generated(MANY_ROUTES / 2), &ALL_CONTROLS);
+    storm.accepted = vec![(version, storm.fleet.now())];
+    storm.fleet.run(CHANGE_BOUND * 2);
+    storm.assert_in_time("narrow links", |_| false, Duration::ZERO);
+}
--- a/crates/testkit/src/reducers.rs
+++ b/crates/testkit/src/reducers.rs
@@ -114,6 +114,8 @@
     /// Time after which the sender of a message that the filter drops loses its link; `None` leaves
     /// links open.
     pub link_timeout: Option<Duration>,
+    /// Rate of the links of nodes, each way, in bytes per second; `None` sends without delay.
+    pub node_link_rate: Option<u64>,
     /// Whether frames are encoded and counted.
     pub counts_bytes: bool,
     /// Effects on calls since the list was last cleared.
@@ -124,6 +126,8 @@
     queue: BinaryHeap<Reverse<QueuedDelivery>>,
     /// Time of the last delivery on each link, which later messages do not overtake.
     last_delivery: IndexMap<(SocketAddr, SocketAddr), u64>,
+    /// Time at which each node's link is free again: what it sends, and what it receives.
+    links_busy: IndexMap<(SocketAddr, bool), u64>,
     /// Time at which each link that is cut counts as lost.
     link_losses: IndexMap<(SocketAddr, SocketAddr), u64>,
     random: ChaCha8Rng,
@@ -155,6 +159,7 @@
             loss_rate: 0.0,
             duplication_rate: 0.0,
             link_timeout: None,
+            node_link_rate: None,
             counts_bytes: false,
             call_effects: Vec::new(),
             names: IndexMap::new(),
@@ -162,6 +167,7 @@
             drop_filter: Box::new(|_, _| false),
             queue: BinaryHeap::new(),
             last_delivery: IndexMap::new(),
+            links_busy: IndexMap::new(),
             link_losses: IndexMap::new(),
             random: ChaCha8Rng::seed_from_u64(seed),
             now_micros: 0,
@@ -494,6 +500,7 @@
         if self.random.random_bool(self.loss_rate) {
             return;
         }
+        let latency = latency + self.transfer_micros(&sender, to, &message);
         let copies = 1 + u32::from(self.random.random_bool(self.duplication_rate));
         for _ in 0..copies {
             let last = self.last_delivery.get(&(sender.address, to)).copied();
@@ -507,6 +514,34 @@
         }
     }
 
+    /// Occupies the links of the nodes that send and receive a message, and returns the time in which
+    /// it passes them and what was queued before it.
+    fn transfer_micros(
+        &mut self,
+        sender: &membership::PeerIdentity,
+        to: SocketAddr,
+        message: &message::PeerMessage,
+    ) -> u64 {
+        let Some(rate) = self.node_link_rate else {
+            return 0;
+        };
+        let duration = encoded_frame_bytes(message) * 1_000_000 / rate;
+        let receiver = &self.processes[&self.names[&to]].state.settings.identity;
+        let ends = [
+            (sender.address, true, sender.is_node),
+            (to, false, receiver.is_node),
+        ];
+        let mut passed_at = self.now_micros;
+        for (address, is_outgoing, is_node) in ends {
+            if is_node {
+                let free_at = self.links_busy.entry((address, is_outgoing)).or_default();
+                *free_at = (*free_at).max(self.now_micros) + duration;
+                passed_at = passed_at.max(*free_at);
+            }
+        }
+        passed_at - self.now_micros
+    }
+
     /// Tells the sender of a dropped message of the loss of its link, once per loss.
     fn lose_link(&mut self, sender: SocketAddr, to: SocketAddr) {
         let Some(timeout) = self.link_timeout else {
@@ -525,14 +560,7 @@
 
     fn count_bytes(&mut self, from: &str, message: &message::PeerMessage) {
         let category = message.category();
-        let frame = message::PeerFrame {
-            clock: message::HybridTime {
-                wall: time::WallTime(1_800_000_000_000),
-                count: 1,
-            },
-            message: message.clone(),
-        };
-        let bytes = codec::encode_frame(&frame).len() as u64;
+        let bytes = encoded_frame_bytes(message);
         let process = self.process(from);
         let (frames, total_bytes) = process.sent.entry(category).or_default();
         *frames += 1;
@@ -543,6 +571,17 @@
     }
 }
 
+fn encoded_frame_bytes(message: &message::PeerMessage) -> u64 {
+    let frame = message::PeerFrame {
+        clock: message::HybridTime {
+            wall: time::WallTime(1_800_000_000_000),
+            count: 1,
+        },
+        message: message.clone(),
+    };
+    codec::encode_frame(&frame).len() as u64
+}
+
 fn latency_between(from: &membership::PeerIdentity, to: &membership::PeerIdentity) -> u64 {
     if from.data_centre == to.data_centre {
         LOCAL_LATENCY_MICROS
