What a caller sends on after its response: discarded up to 64 MiB

Once the handler of a request has responded, the rest of its body was read and discarded for as long as the caller sent it, and once more while a closing connection waited for its caller; a caller with a chunked body without end took a core. Both are bounded by 64 MiB now, then the connection closes. Shorter rests are still read, so that the caller of a request refused early gets its response.

Evidence: endless::endless_upload, red before (the node took all of 512 MB).

--- a/crates/daemon/src/http1.rs
+++ b/crates/daemon/src/http1.rs
@@ -14,6 +14,7 @@
 mod response_writer;
 
 use std::{
+    future,
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -42,6 +43,10 @@
 const READ_AHEAD_BYTES: usize = 65_536;
 /// Time allowed for a caller to close its connection after the last response.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
+/// Bytes of a body that are discarded once its handler has responded, and on a connection that is
+/// about to close. Up to there the caller of a request that was refused early is sure to get the
+/// response: a connection that closes while its caller is sending may be reset first.
+const MAX_DISCARDED_BYTES: usize = 64 << 20;
 /// Buffer space reserved for one read.
 const MIN_READ_BUFFER_BYTES: usize = 8192;
 
@@ -158,10 +163,17 @@
     is_closing: AtomicBool,
 }
 
-/// Returns once the caller has closed its side. Any data that it still sends is discarded.
+/// Returns once the caller has closed its side. What it still sends is discarded, up to a bound; then
+/// no more is read.
 async fn wait_for_close<R: AsyncRead + Unpin>(reader: &mut R) {
     let mut rest = [0; MIN_READ_BUFFER_BYTES];
-    while let Ok(1..) = reader.read(&mut rest).await {}
+    let mut discarded_bytes = 0;
+    while let Ok(count @ 1..) = reader.read(&mut rest).await {
+        discarded_bytes += count;
+        if discarded_bytes > MAX_DISCARDED_BYTES {
+            return future::pending().await;
+        }
+    }
 }
 
 /// Why the reader of a connection stopped.
--- a/crates/daemon/src/http1/body.rs
+++ b/crates/daemon/src/http1/body.rs
@@ -35,7 +35,8 @@
     Chunked,
 }
 
-/// The body's chunked encoding is invalid, so that the start of the next request is unknown.
+/// The body's chunked encoding is invalid, so that the start of the next request is unknown, or too
+/// far away in a body that is discarded.
 #[derive(Debug)]
 pub(super) struct FramingError;
 
@@ -75,6 +76,8 @@
 pub(super) struct BodySender {
     frames: mpsc::Sender<Result<Frame<Bytes>, http::BodyError>>,
     state: BodyState,
+    /// Bytes that came after the handler had stopped reading.
+    discarded_bytes: usize,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -103,7 +106,12 @@
         remaining: length,
         is_ended: false,
     };
-    (Some(BodySender { frames, state }), body.boxed_unsync())
+    let sender = BodySender {
+        frames,
+        state,
+        discarded_bytes: 0,
+    };
+    (Some(sender), body.boxed_unsync())
 }
 
 impl BodySender {
@@ -114,11 +122,11 @@
     ) -> Result<BodyProgress, FramingError> {
         loop {
             let step = match self.state {
-                BodyState::Length(remaining) => self.feed_length(remaining, buffer).await,
+                BodyState::Length(remaining) => self.feed_length(remaining, buffer).await?,
                 BodyState::Chunked(state) => match self.feed_chunk(state, buffer).await {
                     Ok(step) => step,
                     Err(fault) => {
-                        self.send(Err(BodyReadError::Malformed.into())).await;
+                        self.notify(BodyReadError::Malformed).await;
                         return Err(fault);
                     }
                 },
@@ -133,24 +141,28 @@
 
     /// Notifies the handler that the caller disconnected.
     pub(super) async fn abort(&self) {
-        self.send(Err(BodyReadError::Disconnected.into())).await;
+        self.notify(BodyReadError::Disconnected).await;
     }
 
-    async fn feed_length(&self, remaining: u64, buffer: &mut BytesMut) -> BodyDecodeStep {
+    async fn feed_length(
+        &mut self,
+        remaining: u64,
+        buffer: &mut BytesMut,
+    ) -> Result<BodyDecodeStep, FramingError> {
         if remaining == 0 {
-            return BodyDecodeStep::Complete;
+            return Ok(BodyDecodeStep::Complete);
         }
         let count = remaining.min(buffer.len() as u64);
         if count == 0 {
-            return BodyDecodeStep::Incomplete;
+            return Ok(BodyDecodeStep::Incomplete);
         }
         let data = buffer.split_to(count as usize).freeze();
-        self.send(Ok(Frame::data(data))).await;
-        BodyDecodeStep::Next(BodyState::Length(remaining - count))
+        self.send(Frame::data(data)).await?;
+        Ok(BodyDecodeStep::Next(BodyState::Length(remaining - count)))
     }
 
     async fn feed_chunk(
-        &self,
+        &mut self,
         state: ChunkState,
         buffer: &mut BytesMut,
     ) -> Result<BodyDecodeStep, FramingError> {
@@ -176,7 +188,7 @@
                     return Ok(BodyDecodeStep::Incomplete);
                 }
                 let data = buffer.split_to(count as usize).freeze();
-                self.send(Ok(Frame::data(data))).await;
+                self.send(Frame::data(data)).await?;
                 Ok(next(ChunkState::Data(remaining - count)))
             }
             ChunkState::DataEnd if buffer.len() < 2 => Ok(BodyDecodeStep::Incomplete),
@@ -189,7 +201,10 @@
         }
     }
 
-    async fn feed_trailers(&self, buffer: &mut BytesMut) -> Result<BodyDecodeStep, FramingError> {
+    async fn feed_trailers(
+        &mut self,
+        buffer: &mut BytesMut,
+    ) -> Result<BodyDecodeStep, FramingError> {
         let mut headers = [httparse::EMPTY_HEADER; MAX_TRAILERS];
         let (length, trailers) = match httparse::parse_headers(buffer, &mut headers) {
             Ok(httparse::Status::Complete((length, headers))) => (length, read_trailers(headers)),
@@ -201,15 +216,27 @@
         let trailers = trailers.ok_or(FramingError)?;
         buffer.advance(length);
         if !trailers.is_empty() {
-            self.send(Ok(Frame::trailers(trailers))).await;
+            self.send(Frame::trailers(trailers)).await?;
         }
         Ok(BodyDecodeStep::Complete)
     }
 
     /// Sends a frame to the handler. If the handler no longer reads the body, the frame is
     /// discarded, and decoding goes on to find the start of the next request.
-    async fn send(&self, frame: Result<Frame<Bytes>, http::BodyError>) {
-        drop(self.frames.send(frame).await);
+    async fn send(&mut self, frame: Frame<Bytes>) -> Result<(), FramingError> {
+        let size = frame.data_ref().map_or(0, Bytes::len);
+        if self.frames.send(Ok(frame)).await.is_err() {
+            self.discarded_bytes += size;
+        }
+        if self.discarded_bytes > super::MAX_DISCARDED_BYTES {
+            return Err(FramingError);
+        }
+        Ok(())
+    }
+
+    /// Sends an error to the handler, which may no longer read the body.
+    async fn notify(&self, error: BodyReadError) {
+        drop(self.frames.send(Err(error.into())).await);
     }
 }
 
--- a/tests/all/endless.rs
+++ b/tests/all/endless.rs
@@ -23,6 +23,9 @@
 /// Connections on which a target sends without end at once.
 const CONCURRENT_REQUESTS: usize = 8;
 
+/// More than a node discards of a request's body, with what the sockets hold.
+const MAX_UPLOAD_BYTES: usize = 512 << 20;
+
 const DECLINED: [EndlessPlace; 4] = [
     EndlessPlace::DeclinedChunks,
     EndlessPlace::DeclinedBody,
@@ -327,3 +330,24 @@
         }
     }
 }
+
+/// What a caller sent on of a body after the response to it was discarded without a bound.
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_upload() {
+    let scene = EndlessScene::start().await;
+    let mut stream = TcpStream::connect(scene.callers)
+        .await
+        .expect("the node listens");
+    let head = "POST /nowhere HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n";
+    let written = stream.write_all(head.as_bytes()).await;
+    written.expect("the node reads the request");
+    let chunk = format!("10000\r\n{}\r\n", "x".repeat(0x10000));
+    let mut bytes = 0;
+    let uploading = async {
+        while bytes < MAX_UPLOAD_BYTES && stream.write_all(chunk.as_bytes()).await.is_ok() {
+            bytes += chunk.len();
+        }
+    };
+    wait::complete("the end of the upload", uploading).await;
+    assert!(bytes < MAX_UPLOAD_BYTES, "the node took {bytes} bytes");
+}
