--- a/crates/engine/tests/routing.rs
+++ b/crates/engine/tests/routing.rs
@@ -294,7 +294,7 @@
     let entries = json!(&entries().as_array().expect("a JSON array")[..3]);
     let mut node = node::NodeReducer::new("node-1", "brasov-a", &entries);
     let held = node.state.dissemination.in_force.version;
-    let mut refusal = |node: &mut node::NodeReducer| {
+    let refusal = |node: &mut node::NodeReducer| {
         let arrival = node::arrival(1, "/vehicles");
         let effects = node.call(calls::CallEvent::Arrived(arrival));
         let [calls::CallEffect::Refuse(_, refusal)] = effects.as_slice() else {
