Responses: a complete one is passed on however late it is read

What callers saw: beside a pipelined request that takes long, the responses behind it were cut and the connection closed (LOST).

Cause: ended a response at its deadline also when nobody polled it. A response that is complete in memory and waits for its turn on the connection is not polled either; it was taken away.

Change: a complete response has no deadline.

--- a/crates/daemon/src/callers/attempt.rs
+++ b/crates/daemon/src/callers/attempt.rs
@@ -99,7 +99,7 @@
     let max_bytes = context.request_tunables.answer_hold_bytes;
     let (parts, body) = response.into_parts();
     match response_buffer::buffer(body, &parts, max_bytes, deadline).await {
-        Ok(body) => Ok(Response::from_parts(parts, body)),
+        Ok(buffered) => Ok(Response::from_parts(parts, buffered.body)),
         Err(response_buffer::BufferError::Truncated { message }) => {
             log::debug!("response from another node was truncated: {message}");
             Err(calls::AttemptResult::Lost)
--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -357,8 +357,8 @@
             }
         }
         let max_bytes = context.request_tunables.answer_hold_bytes;
-        let body = match response_buffer::buffer(body, &parts, max_bytes, self.deadline).await {
-            Ok(body) => body,
+        let buffered = match response_buffer::buffer(body, &parts, max_bytes, self.deadline).await {
+            Ok(buffered) => buffered,
             Err(response_buffer::BufferError::Truncated { message }) => {
                 log::debug!(
                     "response of target {} was truncated: {message}",
@@ -374,9 +374,10 @@
         };
         self.guard.result = calls::RunResult::CallerGone;
         let report = self.report;
-        let response = Response::from_parts(parts, body);
-        let mut response =
-            stream_response(self.guard, &self.plan, self.deadline, response, connection);
+        // A complete response is passed on however late it is read.
+        let deadline = (!buffered.is_complete).then_some(self.deadline);
+        let response = Response::from_parts(parts, buffered.body);
+        let mut response = stream_response(self.guard, &self.plan, deadline, response, connection);
         set_report(response.headers_mut(), report);
         response
     }
@@ -479,7 +480,7 @@
 fn stream_response(
     mut guard: RunGuard,
     plan: &calls::RunPlan,
-    deadline: Instant,
+    deadline: Option<Instant>,
     response: Response<http::StreamBody>,
     connection: pool::TargetConnection,
 ) -> Response<http::StreamBody> {
@@ -511,6 +512,7 @@
         address: plan.address,
         guard,
         connection: Some(connection),
+        passed_frames: 0,
     };
     let body = response_body::ResponseBody::new(streamed, deadline);
     Response::from_parts(parts, body.boxed_unsync())
--- a/crates/daemon/src/owner/response_body.rs
+++ b/crates/daemon/src/owner/response_body.rs
@@ -1,11 +1,12 @@
-//! Body of a target's response while it is streamed. Its slot is freed when it ends, is dropped or
-//! has used up its time, whether or not it is read.
+//! Body of a target's response while it is streamed. Its slot is freed when it ends or is dropped, and
+//! after its deadline also when nobody reads it.
 
 use std::{
     net::SocketAddr,
     pin::Pin,
     sync::{Arc, Mutex, MutexGuard, Weak},
     task::{Context, Poll},
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -23,6 +24,10 @@
 use super::RunGuard;
 use crate::{http, pool};
 
+/// Time after the deadline without a read after which a response ends. On a narrow link a large
+/// response waits for its next turn for less.
+const UNREAD_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// The deadline passed while the response body was being streamed.
 #[derive(Debug, Snafu)]
 #[snafu(display("deadline exceeded before the response body was complete"))]
@@ -35,6 +40,8 @@
     pub(super) address: SocketAddr,
     pub(super) guard: RunGuard,
     pub(super) connection: Option<pool::TargetConnection>,
+    /// Number of frames passed on.
+    pub(super) passed_frames: u64,
 }
 
 impl OpenResponse {
@@ -57,7 +64,7 @@
     }
 }
 
-/// A response; absent once its deadline has passed.
+/// A response; absent once it has been ended.
 type HeldResponse = Mutex<Option<OpenResponse>>;
 
 fn lock(held: &HeldResponse) -> MutexGuard<'_, Option<OpenResponse>> {
@@ -67,28 +74,51 @@
 /// The body as it is passed on.
 pub(super) struct ResponseBody {
     response: Arc<HeldResponse>,
-    /// Ends once the deadline has passed and the response is gone.
-    deadline: JoinHandle<()>,
+    timeout: Option<ResponseTimeout>,
+}
+
+/// Ends a response that is not complete when its deadline passes.
+struct ResponseTimeout {
+    deadline: Pin<Box<time::Sleep>>,
+    unread: JoinHandle<()>,
 }
 
 impl ResponseBody {
-    /// Passes a response on until `deadline`. A body that nobody polls, because its caller does not
-    /// read, ends then as well.
-    pub(super) fn new(response: OpenResponse, deadline: Instant) -> Self {
+    /// Passes a response on. After `deadline`, if there is one, it ends as soon as its target has
+    /// nothing to pass on, or once nobody reads it.
+    pub(super) fn new(response: OpenResponse, deadline: Option<Instant>) -> Self {
         let response = Arc::new(Mutex::new(Some(response)));
-        let held = Arc::downgrade(&response);
-        let deadline = tokio::spawn(async move {
-            time::sleep_until(deadline).await;
-            end_response(&held);
+        let timeout = deadline.map(|deadline| ResponseTimeout {
+            deadline: Box::pin(time::sleep_until(deadline)),
+            unread: tokio::spawn(end_unread(Arc::downgrade(&response), deadline)),
         });
-        Self { response, deadline }
+        Self { response, timeout }
+    }
+}
+
+/// Ends a response once none of it has been read for `UNREAD_TIMEOUT` after its deadline.
+async fn end_unread(held: Weak<HeldResponse>, deadline: Instant) {
+    time::sleep_until(deadline).await;
+    let mut last_frames = None;
+    loop {
+        let Some(held) = held.upgrade() else {
+            return;
+        };
+        let passed_frames = lock(&held).as_ref().map(|response| response.passed_frames);
+        if passed_frames.is_none() {
+            return;
+        }
+        if passed_frames == last_frames {
+            return truncate(&mut lock(&held));
+        }
+        last_frames = passed_frames;
+        drop(held);
+        time::sleep(UNREAD_TIMEOUT).await;
     }
 }
 
-/// Ends a response whose deadline has passed.
-fn end_response(held: &Weak<HeldResponse>) {
-    let response = held.upgrade().and_then(|held| lock(&held).take());
-    if let Some(mut response) = response {
+fn truncate(held: &mut Option<OpenResponse>) {
+    if let Some(mut response) = held.take() {
         response.guard.result = calls::RunResult::Truncated;
     }
 }
@@ -101,7 +131,7 @@
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
-        let Self { response, deadline } = self.get_mut();
+        let Self { response, timeout } = self.get_mut();
         let mut held = lock(response);
         let Some(response) = held.as_mut() else {
             return Poll::Ready(Some(Err(ResponseTimedOut.into())));
@@ -110,10 +140,13 @@
         match &polled {
             Poll::Ready(None) => response.finish(),
             Poll::Ready(Some(Err(_))) => response.guard.result = calls::RunResult::Truncated,
-            Poll::Ready(Some(Ok(_))) => {}
+            Poll::Ready(Some(Ok(_))) => response.passed_frames += 1,
             Poll::Pending => {
-                // Not ready while the response is there: it wakes this task after it has taken it.
-                drop(Pin::new(deadline).poll(cx));
+                let deadline = timeout.as_mut().map(|timeout| timeout.deadline.as_mut());
+                if deadline.is_some_and(|deadline| deadline.poll(cx).is_ready()) {
+                    truncate(&mut held);
+                    return Poll::Ready(Some(Err(ResponseTimedOut.into())));
+                }
             }
         }
         polled.map_err(Into::into)
@@ -134,6 +167,8 @@
 
 impl Drop for ResponseBody {
     fn drop(&mut self) {
-        self.deadline.abort();
+        if let Some(timeout) = &self.timeout {
+            timeout.unread.abort();
+        }
     }
 }
--- a/crates/daemon/src/response_buffer.rs
+++ b/crates/daemon/src/response_buffer.rs
@@ -30,19 +30,30 @@
     DeadlineExceeded,
 }
 
+/// A body, of which the beginning or all may have been read.
+#[derive(Debug)]
+pub struct BufferedBody {
+    /// The body.
+    pub body: http::StreamBody,
+    /// Whether all of it has been read.
+    pub is_complete: bool,
+}
+
 /// Buffers a body of at most `max_bytes` until `deadline`. A larger body is streamed.
 pub async fn buffer<B>(
     body: B,
     head: &hyper_http::response::Parts,
     max_bytes: u64,
     deadline: time::Instant,
-) -> Result<http::StreamBody, BufferError>
+) -> Result<BufferedBody, BufferError>
 where
     B: Body<Data = Bytes> + Send + Unpin + 'static,
     B::Error: Into<http::BodyError>,
 {
     if !should_buffer(&body, head, max_bytes) {
-        return Ok(http::stream_body(body));
+        let is_complete = body.is_end_stream();
+        let body = http::stream_body(body);
+        return Ok(BufferedBody { body, is_complete });
     }
     let reading = read(body, max_bytes as usize);
     time::timeout_at(deadline, reading)
@@ -59,7 +70,7 @@
     }
 }
 
-async fn read<B>(mut body: B, max_bytes: usize) -> Result<http::StreamBody, BufferError>
+async fn read<B>(mut body: B, max_bytes: usize) -> Result<BufferedBody, BufferError>
 where
     B: Body<Data = Bytes> + Send + Unpin + 'static,
     B::Error: Into<http::BodyError>,
@@ -74,8 +85,14 @@
             buffered.extend_from_slice(&data);
         }
         if buffered.len() > max_bytes {
-            return Ok(http::chain_body(buffered.freeze(), http::stream_body(body)));
+            return Ok(BufferedBody {
+                body: http::chain_body(buffered.freeze(), http::stream_body(body)),
+                is_complete: false,
+            });
         }
     }
-    Ok(http::full_body(buffered.freeze()))
+    Ok(BufferedBody {
+        body: http::full_body(buffered.freeze()),
+        is_complete: true,
+    })
 }
--- a/tests/all/streaming.rs
+++ b/tests/all/streaming.rs
@@ -406,3 +406,42 @@
         response.len()
     );
 }
+
+/// A complete response that waited behind an earlier one on its connection was cut at its deadline.
+#[tokio::test(flavor = "multi_thread")]
+async fn complete_response_waits() {
+    let mut fleet = support::start_small_fleet().await;
+    let slow = behaviour::StandInBehaviour {
+        latency_ms: 4000,
+        ..behaviour::StandInBehaviour::default()
+    };
+    let target = support::start_stand_in(&mut fleet, "node-1", "target-1").await;
+    support::wait_for_routing(&fleet, "node-1").await;
+    target.set_behaviour(slow);
+    let callers = fleet.instance("node-1").addresses["callers"];
+    let mut stream = TcpStream::connect(callers).await.expect("the node listens");
+    let request = |path: &str, lines: &str| {
+        format!("GET /vehicles/{path} HTTP/1.1\r\nhost: a\r\n{lines}\r\n")
+    };
+    let first = request("first", "");
+    let written = stream.write_all(first.as_bytes()).await;
+    written.expect("the node reads the request");
+    wait::until("the run of the first request", || async {
+        let mut runs = target.runs().into_iter();
+        runs.any(|run| run.path == "/vehicles/first").then_some(())
+    })
+    .await;
+    target.set_behaviour(behaviour::StandInBehaviour::default());
+    let second = request("second", "hazeltiller-deadline-ms: 2000\r\n");
+    let third = request("third", "connection: close\r\n");
+    let written = stream.write_all((second + &third).as_bytes()).await;
+    written.expect("the node reads the requests");
+    let mut received = String::new();
+    let reading = stream.read_to_string(&mut received);
+    let read = wait::complete("the end of the responses", reading).await;
+    read.expect("the responses are text");
+    for path in ["first", "second", "third"] {
+        let body = format!("ran GET /vehicles/{path}\n");
+        assert!(received.contains(&body), "{path}: {received}");
+    }
+}
