Dissemination: a node lags until it holds the latest version it heard of

HZ3029 ended with the next version taken, whichever it was: a node that had heard of version 12 and took 11 told callers again that a route did not exist.

The latest version heard of is kept, and the time for which it has been known begins anew while a later one is missing. outdated_not_final hears of two versions and takes one; with the code before it gets HZ3001 there (by reading: not run).

--- a/crates/engine/src/dissemination/pull.rs
+++ b/crates/engine/src/dissemination/pull.rs
@@ -26,7 +26,9 @@
 pub struct PullState {
     advertised: Option<AdvertisedVersion>,
     requested_at: Option<time::MonotonicTime>,
-    /// Since when a later version than the local one has been known, requested or not.
+    /// Latest version that another process has advertised.
+    latest_known: ids::CatalogueVersion,
+    /// Since when it has been later than the local one.
     behind_since: Option<time::MonotonicTime>,
 }
 
@@ -41,7 +43,9 @@
         return;
     }
     let now = state.now;
-    state.dissemination.pull.behind_since.get_or_insert(now);
+    let pull_state = &mut state.dissemination.pull;
+    pull_state.latest_known = pull_state.latest_known.max(held.version);
+    pull_state.behind_since.get_or_insert(now);
     let advertised = state.dissemination.pull.advertised;
     let known = advertised.filter(|advertised| advertised.version > state.dissemination.version());
     if known.is_some_and(|known| known.version > held.version) {
@@ -96,13 +100,17 @@
 
 /// Returns whether a later version than the local one is known.
 pub fn is_behind(state: &reducer::EngineState) -> bool {
-    state.dissemination.pull.behind_since.is_some()
+    state.dissemination.pull.latest_known > state.dissemination.version()
 }
 
-/// Returns for how long a later version than the local one has been known, and begins anew.
+/// Returns for how long a later version than the one held so far has been known, and begins anew if
+/// the version just taken is not the latest known either.
 pub fn take_lag(state: &mut reducer::EngineState) -> Option<Duration> {
-    let since = state.dissemination.pull.behind_since.take()?;
-    Some(state.now.since(since))
+    let since = state.dissemination.pull.behind_since.take();
+    if is_behind(state) {
+        state.dissemination.pull.behind_since = Some(state.now);
+    }
+    Some(state.now.since(since?))
 }
 
 /// Clears the outstanding request after a version was accepted.
--- a/crates/engine/tests/routing.rs
+++ b/crates/engine/tests/routing.rs
@@ -304,13 +304,21 @@
     };
     assert_eq!(refusal(&mut node).code, code::ResultCode::RouteNotFound);
     let mut gossip = membership::GossipMessage::default();
-    gossip.held.version = held.next();
+    gossip.held.version = held.next().next();
     node.reduce(event::Event::Received {
         from: node::identity("node-2", "brasov-a", "ro-centru"),
         message: message::PeerMessage::Membership(membership::MembershipMessage::Rumour(gossip)),
     });
-    let outdated = refusal(&mut node);
-    assert_eq!(outdated.code, code::ResultCode::CatalogueOutdated);
-    assert_eq!(outdated.outcome, wire::CallOutcome::NotRun);
-    assert!(outdated.retry_after_ms > 0, "{outdated:?}");
+    for is_taken in [false, true] {
+        if is_taken {
+            node.apply_entries(&entries);
+            assert!(node.state.dissemination.in_force.version > held);
+        }
+        let outdated = refusal(&mut node);
+        assert_eq!(outdated.code, code::ResultCode::CatalogueOutdated);
+        assert_eq!(outdated.outcome, wire::CallOutcome::NotRun);
+        assert!(outdated.retry_after_ms > 0, "{outdated:?}");
+    }
+    node.apply_entries(&entries);
+    assert_eq!(refusal(&mut node).code, code::ResultCode::RouteNotFound);
 }
