Soak: the new troubles have a draw of their own

With twelve draws in place of eight the late faults came a third less often, and the seeds kept for them no longer played them. The troubles of targets and controls are drawn from a generator of their own beside each fault.

--- a/tests/all/soak.rs
+++ b/tests/all/soak.rs
@@ -94,6 +94,8 @@
     random: StdRng,
     /// Determines the late copies, announcements and changes, apart from the other faults.
     late_random: StdRng,
+    /// Determines the troubles of targets and controls, apart from the late ones, whose seeds stay.
+    trouble_random: StdRng,
     targets: Vec<target::StandInTarget>,
     nodes: watch::Sender<Vec<SocketAddr>>,
     /// Label of the last acknowledged revision.
@@ -176,6 +178,7 @@
             fleet,
             random: StdRng::seed_from_u64(seed),
             late_random: StdRng::seed_from_u64(!seed),
+            trouble_random: StdRng::seed_from_u64(seed.rotate_left(32)),
             targets: Vec::new(),
             nodes: watch::Sender::new(Vec::new()),
             label: 0,
@@ -500,6 +503,7 @@
     for _ in 0..fault_count {
         soak.inject_fault().await;
         soak.inject_late_fault().await;
+        soak.inject_trouble().await;
         soak.check_versions().await;
         soak.check_memory(seed);
     }
--- a/tests/all/soak/late.rs
+++ b/tests/all/soak/late.rs
@@ -48,16 +48,12 @@
 
 impl SoakRun {
     pub(super) async fn inject_late_fault(&mut self) {
-        self.end_endless();
-        let fault = self.late_random.random_range(0..12);
+        let fault = self.late_random.random_range(0..8);
         println!("late fault {fault}");
         match fault {
             0 | 1 => self.decline_twice(),
             2 | 3 => self.depart_and_restart().await,
             4 => self.kill_after_burst().await,
-            5 | 6 => self.decline_most().await,
-            7 | 8 => self.send_endless(),
-            9 => self.lose_touch().await,
             _ => {}
         }
     }
--- a/tests/all/soak/targets.rs
+++ b/tests/all/soak/targets.rs
@@ -20,33 +20,45 @@
 ];
 
 impl SoakRun {
+    pub(super) async fn inject_trouble(&mut self) {
+        self.end_endless();
+        let trouble = self.trouble_random.random_range(0..12);
+        println!("trouble {trouble}");
+        match trouble {
+            0 | 1 => self.decline_most().await,
+            2 | 3 => self.send_endless(),
+            4 => self.lose_touch().await,
+            _ => {}
+        }
+    }
+
     /// Adds targets and makes all but one decline a third to a half of their requests, and all repeat
     /// most of their responses late, until the end of the faults.
-    pub(super) async fn decline_most(&mut self) {
+    async fn decline_most(&mut self) {
         for node in NODES {
             self.add_target(node).await;
         }
         let last = self.targets.len() - 1;
         for (index, target) in self.targets.iter().enumerate() {
-            let declined_interval = self.late_random.random_range(2..=3);
+            let declined_interval = self.trouble_random.random_range(2..=3);
             target.set_behaviour(behaviour::StandInBehaviour {
                 declined_interval: if index < last { declined_interval } else { 0 },
                 is_decline_repeated: true,
-                repeated_interval: self.late_random.random_range(1..=2),
+                repeated_interval: self.trouble_random.random_range(1..=2),
                 ..target.behaviour()
             });
         }
     }
 
-    /// Makes some targets send bytes without end, until the next late fault.
-    pub(super) fn send_endless(&mut self) {
-        for _ in 0..self.late_random.random_range(1..=3) {
-            let target = &self.targets[self.late_random.random_range(0..self.targets.len())];
-            let place = ENDLESS_PLACES[self.late_random.random_range(0..ENDLESS_PLACES.len())];
+    /// Makes some targets send bytes without end, until the next trouble.
+    fn send_endless(&mut self) {
+        for _ in 0..self.trouble_random.random_range(1..=3) {
+            let target = &self.targets[self.trouble_random.random_range(0..self.targets.len())];
+            let place = ENDLESS_PLACES[self.trouble_random.random_range(0..ENDLESS_PLACES.len())];
             let script = endless::EndlessScript {
                 place,
-                interval: self.late_random.random_range(1..=5),
-                is_at_probes: self.late_random.random_bool(0.5),
+                interval: self.trouble_random.random_range(1..=5),
+                is_at_probes: self.trouble_random.random_bool(0.5),
                 piece_bytes: 0,
                 piece_pause_ms: 0,
             };
--- a/tests/all/soak/touch.rs
+++ b/tests/all/soak/touch.rs
@@ -19,8 +19,8 @@
         if Instant::now() < self.out_of_touch_until {
             return;
         }
-        let index = self.late_random.random_range(0..CONTROLS.len());
-        let rule = if self.late_random.random_bool(0.5) {
+        let index = self.trouble_random.random_range(0..CONTROLS.len());
+        let rule = if self.trouble_random.random_bool(0.5) {
             proxy::FaultRule::Cut
         } else {
             proxy::FaultRule::Silent
@@ -38,7 +38,7 @@
                 accepted_at.elapsed().as_millis(),
                 CONTROLS[index]
             );
-            let pause = Duration::from_millis(self.late_random.random_range(50..900));
+            let pause = Duration::from_millis(self.trouble_random.random_range(50..900));
             time::sleep(pause).await;
         }
     }
