--- /dev/null
+++ b/review/stand-2/cases.rs
@@ -0,0 +1,625 @@
+//! The cases: what the clients do, and the check of the rule.
+
+use std::{
+    collections::HashMap,
+    io::Write as _,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use crate::{fleet, http, record, server};
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    Held = 0,
+    Broken = 1,
+    NotRun = 2,
+}
+
+fn verdict(is_broken: bool) -> Verdict {
+    if is_broken {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
+}
+
+pub fn play(name: &str, record: &record::Record, is_troubled: bool) -> Verdict {
+    match name {
+        "crash" => crash(record, is_troubled),
+        "foreign" => foreign(record, is_troubled),
+        "pipeline" => pipeline(record, is_troubled),
+        "gone" => gone(record, is_troubled),
+        "spoilt" => spoilt(record, is_troubled),
+        _ => Verdict::NotRun,
+    }
+}
+
+static LAST_ATTEMPT: AtomicU64 = AtomicU64::new(0);
+
+fn attempt_id() -> String {
+    let number = LAST_ATTEMPT.fetch_add(1, Ordering::Relaxed) + 1;
+    format!("{number:016x}")
+}
+
+/// A configuration with a route for each row: prefix, type, service and time-out in seconds.
+fn configuration(services: &[&str], routes: &[(&str, &str, &str, f64)]) -> String {
+    configuration_within(services, routes, 0.4)
+}
+
+/// The same, with this target latency in seconds on all routes.
+fn configuration_within(
+    services: &[&str],
+    routes: &[(&str, &str, &str, f64)],
+    latency_s: f64,
+) -> String {
+    let services = services.iter().map(|name| {
+        format!(
+            "{{\"name\":\"{name}\",\"health_path\":\"/healthz\",\"max_connections\":120,\
+             \"protocol\":\"h1\",\"tls\":false}}"
+        )
+    });
+    let routes = routes
+        .iter()
+        .enumerate()
+        .map(|(index, (prefix, kind, service, timeout_s))| {
+            format!(
+                "{{\"name\":\"r-{index}\",\"path_prefix\":\"{prefix}\",\"type\":\"{kind}\",\
+             \"timeout_s\":{timeout_s},\"target_latency_s\":{latency_s},\"priority\":1,\
+             \"service\":\"{service}\",\"max_attempts\":2}}"
+            )
+        });
+    format!(
+        "{{\"version\":3,\"base_version\":0,\"services\":[{}],\"limits\":{{\
+         \"max_header_bytes\":16384,\"max_body_bytes\":67108864,\"header_timeout_s\":3,\
+         \"idle_timeout_s\":15}},\"virtual_hosts\":[{{\"host\":\"system.example\",\
+         \"paths\":[{}]}}]}}",
+        services.collect::<Vec<_>>().join(","),
+        routes.collect::<Vec<_>>().join(",")
+    )
+}
+
+/// Encodes a request of a client.
+fn encode(
+    method: &str,
+    path: &str,
+    attempt: &str,
+    deadline_ms: u64,
+    body: Option<&[u8]>,
+) -> Vec<u8> {
+    let deadline = deadline_ms.to_string();
+    let headers = [("X-Attempt-Id", attempt), ("X-Deadline-Ms", &deadline)];
+    http::request(method, path, &headers, body)
+}
+
+/// Encodes a request whose body is sent in chunks.
+fn encode_chunked(path: &str, attempt: &str, deadline_ms: u64, body: &str) -> Vec<u8> {
+    let deadline = deadline_ms.to_string();
+    let headers = [
+        ("X-Attempt-Id", attempt),
+        ("X-Deadline-Ms", &deadline),
+        ("Transfer-Encoding", "chunked"),
+    ];
+    let mut bytes = http::request("POST", path, &headers, None);
+    bytes.extend_from_slice(format!("{:x}\r\n{body}\r\n0\r\n\r\n", body.len()).as_bytes());
+    bytes
+}
+
+/// Sends a request on a new connection at a node and records the answer.
+fn send(record: &record::Record, to: SocketAddr, attempt: &str, bytes: &[u8], ms: u64) -> u16 {
+    let sent = http::connect_local(to).and_then(|stream| {
+        let mut connection = http::Connection::new(stream);
+        connection.send(bytes)?;
+        connection.receive(Instant::now() + Duration::from_millis(ms + 500))
+    });
+    match sent {
+        Ok(response) => {
+            record.line(&format!("client {attempt} got {}", response.status));
+            response.status
+        }
+        Err(error) => {
+            record.line(&format!("client {attempt} got no answer: {error}"));
+            0
+        }
+    }
+}
+
+/// Waits until requests on a path are answered with success at all nodes.
+fn wait_served(record: &record::Record, fleet: &fleet::Fleet, nodes: u8, path: &str) -> bool {
+    let until = Instant::now() + Duration::from_secs(20);
+    for node in 1..=nodes {
+        loop {
+            let attempt = attempt_id();
+            let bytes = encode("GET", path, &attempt, 1000, None);
+            if send(record, fleet.outbound(node), &attempt, &bytes, 1000) == 200 {
+                break;
+            }
+            if Instant::now() > until {
+                record.line(&format!("node {node} serves nothing on {path}"));
+                return false;
+            }
+            std::thread::sleep(Duration::from_millis(100));
+        }
+    }
+    true
+}
+
+/// Waits for a calm time of more than the stable window.
+fn settle() {
+    std::thread::sleep(Duration::from_secs_f64(fleet::STABLE_WINDOW_S + 1.0));
+}
+
+fn new_events() -> server::Events {
+    Arc::new(Mutex::new(Vec::new()))
+}
+
+fn ended(record: &record::Record, fleet: &mut fleet::Fleet) {
+    for name in fleet.ended() {
+        record.line(&format!("{name} has ended by itself"));
+    }
+}
+
+/// A request that crashes each server that begins to run it comes again and again.
+fn crash(record: &record::Record, is_troubled: bool) -> Verdict {
+    const NODES: u8 = 4;
+    const BACK_AFTER: Duration = Duration::from_secs(3);
+    let has_length = std::env::var("FRAMING").is_ok_and(|framing| framing == "length");
+    let mut fleet = fleet::Fleet::start(record, 3, &["desk"; NODES as usize]);
+    fleet.wait_ready_for(
+        &configuration(
+            &["desk"],
+            &[
+                ("/read/", "safe", "desk", 1.2),
+                ("/pay/", "unsafe", "desk", 1.5),
+            ],
+        ),
+        NODES,
+    );
+    let events = new_events();
+    let start = |node: u8, life: u32| {
+        let id = format!("i-{node}-{life}");
+        server::Server::start(record, &events, &fleet, node, (&id, "desk", "sound"))
+    };
+    let mut servers: Vec<(server::Server, u32, Option<Instant>)> =
+        (1..=NODES).map(|node| (start(node, 1), 1, None)).collect();
+    if !wait_served(record, &fleet, NODES, "/read/w20") {
+        return Verdict::NotRun;
+    }
+    settle();
+    let began = Instant::now();
+    let mut sent_at = HashMap::new();
+    let mut next_bad = began;
+    let mut node = 0;
+    while began.elapsed() < Duration::from_secs(45) {
+        for (index, (server, life, ended_at)) in servers.iter_mut().enumerate() {
+            let number = index as u8 + 1;
+            match ended_at {
+                None if server.has_ended() => {
+                    record.line(&format!("server {} has crashed", server.id));
+                    *ended_at = Some(Instant::now());
+                }
+                Some(at) if at.elapsed() >= BACK_AFTER => {
+                    *life += 1;
+                    *server = start(number, *life);
+                    *ended_at = None;
+                }
+                _ => {}
+            }
+        }
+        node = node % NODES + 1;
+        let attempt = attempt_id();
+        if is_troubled && Instant::now() >= next_bad {
+            next_bad += Duration::from_secs(1);
+            let body = "limit=1000&franchise=77";
+            let bytes = if has_length {
+                encode("POST", "/pay/crash", &attempt, 1500, Some(body.as_bytes()))
+            } else {
+                encode_chunked("/pay/crash", &attempt, 1500, body)
+            };
+            record.line(&format!("client {attempt} sends /pay/crash at node {node}"));
+            sent_at.insert(attempt.clone(), record.now());
+            send(record, fleet.outbound(node), &attempt, &bytes, 1500);
+        } else {
+            let bytes = encode("GET", "/read/w20", &attempt, 1200, None);
+            send(record, fleet.outbound(node), &attempt, &bytes, 1200);
+        }
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    let events = events.lock().expect("no holder panics").clone();
+    let crashes: Vec<&server::Event> = events
+        .iter()
+        .filter(|event| event.kind == "run" && event.path == "/pay/crash")
+        .collect();
+    record.line(&format!(
+        "{} sent, {} crashes",
+        sent_at.len(),
+        crashes.len()
+    ));
+    ended(record, &mut fleet);
+    let Some(third) = crashes.get(2) else {
+        return Verdict::Held;
+    };
+    let bound = third.at + Duration::from_secs_f64(fleet::STABLE_WINDOW_S);
+    let late = events.iter().filter(|event| {
+        event.kind == "arrive"
+            && event.path == "/pay/crash"
+            && sent_at
+                .get(&event.attempt)
+                .is_some_and(|sent| *sent > bound)
+    });
+    let late = late.count();
+    record.line(&format!(
+        "third crash at {:.3}; {late} retries sent more than 3 s later reached servers (3 allowed)",
+        third.at.as_secs_f64()
+    ));
+    verdict(late > 3)
+}
+
+/// A heartbeat of another writer, with fields missing, names a server of one service as one of
+/// another.
+fn foreign(record: &record::Record, is_troubled: bool) -> Verdict {
+    let mut fleet = fleet::Fleet::start(record, 3, &["desk", "desk", "ledger"]);
+    fleet.wait_ready_for(
+        &configuration(
+            &["desk", "ledger"],
+            &[
+                ("/limit/", "unsafe", "desk", 1.5),
+                ("/ledger/", "safe", "ledger", 1.2),
+                ("/read/", "safe", "desk", 1.2),
+            ],
+        ),
+        3,
+    );
+    let events = new_events();
+    let rows = [
+        (1, "i-desk-1", "desk"),
+        (2, "i-desk-2", "desk"),
+        (3, "i-ledger-1", "ledger"),
+    ];
+    let _servers: Vec<server::Server> = rows
+        .into_iter()
+        .map(|(node, id, service)| {
+            server::Server::start(record, &events, &fleet, node, (id, service, "sound"))
+        })
+        .collect();
+    let is_served = wait_served(record, &fleet, 3, "/read/w20")
+        && wait_served(record, &fleet, 3, "/ledger/w20");
+    if !is_served {
+        return Verdict::NotRun;
+    }
+    settle();
+    if is_troubled {
+        // Of the fields that the page lists, zone, version and warmup_left_s are missing.
+        let body = format!(
+            "{{\"service\":\"ledger\",\"address\":\"{}\",\"slots\":6,\"state\":\"ready\",\
+             \"sequence\":1,\"born\":{}}}",
+            fleet.app(1),
+            server::unix_ms()
+        );
+        let headers = [("Content-Type", "application/json")];
+        let request = http::request(
+            "PUT",
+            "/api/instances/i-desk-1",
+            &headers,
+            Some(body.as_bytes()),
+        );
+        let answer = http::exchange(None, fleet.heartbeats(1), &request, Duration::from_secs(1));
+        let answer = answer.map_or(0, |response| response.status);
+        record.line(&format!(
+            "the heartbeat of another writer, {body}, got {answer}"
+        ));
+    }
+    for round in 0..120 {
+        let node = round % 3 + 1;
+        let attempt = attempt_id();
+        let bytes = encode("GET", &format!("/ledger/w20-{round}"), &attempt, 1200, None);
+        send(record, fleet.outbound(node), &attempt, &bytes, 1200);
+        let attempt = attempt_id();
+        let bytes = encode(
+            "POST",
+            &format!("/limit/w20-{round}"),
+            &attempt,
+            1500,
+            Some(b"x"),
+        );
+        send(record, fleet.outbound(node), &attempt, &bytes, 1500);
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    let events = events.lock().expect("no holder panics").clone();
+    let wrong = events.iter().filter(|event| {
+        event.kind == "run"
+            && event.path.starts_with("/ledger/")
+            && event.server.starts_with("i-desk")
+    });
+    let wrong = wrong.count();
+    ended(record, &mut fleet);
+    record.line(&format!(
+        "{wrong} requests of the ledger's route ran at a server of the desk"
+    ));
+    verdict(wrong > 0)
+}
+
+/// Clients send further requests before the first is answered; one of two servers breaks off some
+/// answers.
+fn pipeline(record: &record::Record, is_troubled: bool) -> Verdict {
+    const BATCH: usize = 8;
+    let mut fleet = fleet::Fleet::start(record, 3, &["desk", "desk"]);
+    fleet.wait_ready_for(
+        &configuration(&["desk"], &[("/read/", "safe", "desk", 2.0)]),
+        2,
+    );
+    let events = new_events();
+    let mode = if is_troubled {
+        "chunked,breaks"
+    } else {
+        "chunked"
+    };
+    let _servers = [
+        server::Server::start(record, &events, &fleet, 1, ("i-faulty", "desk", mode)),
+        server::Server::start(record, &events, &fleet, 2, ("i-sound", "desk", "chunked")),
+    ];
+    if !wait_served(record, &fleet, 2, "/read/w20") {
+        return Verdict::NotRun;
+    }
+    settle();
+    let lost = Arc::new(Mutex::new(Vec::new()));
+    let clients = (0..4_u8).map(|client| {
+        let to = fleet.outbound(client % 2 + 1);
+        let (record, lost) = (record.clone(), Arc::clone(&lost));
+        std::thread::spawn(move || {
+            let began = Instant::now();
+            let mut kept = None;
+            while began.elapsed() < Duration::from_secs(20) {
+                let mut connection = match kept.take() {
+                    Some(connection) => connection,
+                    None => match first_request(&record, to) {
+                        Some(connection) => connection,
+                        None => continue,
+                    },
+                };
+                let attempts: Vec<String> = (0..BATCH).map(|_| attempt_id()).collect();
+                let mut batch = Vec::new();
+                for attempt in &attempts {
+                    batch.extend(encode("GET", "/read/w100", attempt, 2000, None));
+                }
+                record.line(&format!("client {client} sends {}", attempts.join(" ")));
+                if connection.send(&batch).is_err() {
+                    continue;
+                }
+                let until = Instant::now() + Duration::from_secs(3);
+                let mut answered = 0;
+                for attempt in &attempts {
+                    match connection.receive(until) {
+                        Ok(response) => {
+                            record.line(&format!("client {attempt} got {}", response.status));
+                            answered += 1;
+                        }
+                        Err(error) => {
+                            record.line(&format!("client {attempt} got no answer: {error}"));
+                            break;
+                        }
+                    }
+                }
+                if answered == BATCH {
+                    kept = Some(connection);
+                } else {
+                    // The one whose answer broke off isn't counted, only those behind it.
+                    let behind = attempts.into_iter().skip(answered + 1);
+                    lost.lock().expect("no holder panics").extend(behind);
+                }
+            }
+        })
+    });
+    for client in clients.collect::<Vec<_>>() {
+        let _ = client.join();
+    }
+    ended(record, &mut fleet);
+    let events = events.lock().expect("no holder panics").clone();
+    let lost = lost.lock().expect("no holder panics");
+    let at_sound = lost.iter().filter(|attempt| {
+        let mut runs = events.iter().filter(|event| event.attempt == **attempt);
+        runs.any(|event| event.kind == "run" && event.server == "i-sound")
+    });
+    let at_sound = at_sound.count();
+    let broken = events.iter().filter(|event| event.kind == "broke").count();
+    record.line(&format!(
+        "{broken} answers broken off by the faulty server; {} requests behind them got no answer, \
+         {at_sound} of them were passed on to the sound server (3 allowed)",
+        lost.len()
+    ));
+    verdict(at_sound > 3)
+}
+
+/// Opens a connection and keeps it after a first request that was answered.
+fn first_request(record: &record::Record, to: SocketAddr) -> Option<http::Connection> {
+    let mut connection = http::Connection::new(http::connect_local(to).ok()?);
+    let attempt = attempt_id();
+    connection
+        .send(&encode("GET", "/read/w20", &attempt, 2000, None))
+        .ok()?;
+    let response = connection
+        .receive(Instant::now() + Duration::from_secs(3))
+        .ok()?;
+    record.line(&format!(
+        "client {attempt} got {} on a new connection",
+        response.status
+    ));
+    Some(connection)
+}
+
+/// A share of the clients leaves while their requests with long bodies wait for a slot.
+fn gone(record: &record::Record, is_troubled: bool) -> Verdict {
+    const ROUNDS: usize = 4;
+    const CLIENTS: usize = 20;
+    /// One of so many clients leaves.
+    const LEAVING_EVERY: usize = 5;
+    const BODY_BYTES: usize = 200_000;
+    let mut fleet = fleet::Fleet::start(record, 3, &["desk", "other"]);
+    let routes = [
+        ("/read/", "safe", "desk", 8.0),
+        ("/pay/", "unsafe", "desk", 8.0),
+    ];
+    fleet.wait_ready_for(&configuration_within(&["desk", "other"], &routes, 6.0), 2);
+    let events = new_events();
+    let _server = server::Server::start(record, &events, &fleet, 1, ("i-1", "desk", "sound"));
+    if !wait_served(record, &fleet, 2, "/read/w20") {
+        return Verdict::NotRun;
+    }
+    settle();
+    let to = fleet.outbound(2);
+    let closed = Arc::new(Mutex::new(HashMap::new()));
+    for _round in 0..ROUNDS {
+        let mut clients = Vec::new();
+        for _slot in 0..6 {
+            let record = record.clone();
+            clients.push(std::thread::spawn(move || {
+                let attempt = attempt_id();
+                let bytes = encode("POST", "/pay/w2000", &attempt, 8000, Some(b"x"));
+                send(&record, to, &attempt, &bytes, 8000);
+            }));
+        }
+        std::thread::sleep(Duration::from_millis(200));
+        for index in 0..CLIENTS {
+            let (record, closed) = (record.clone(), Arc::clone(&closed));
+            clients.push(std::thread::spawn(move || {
+                let attempt = attempt_id();
+                let body = vec![b'y'; BODY_BYTES];
+                let bytes = encode("POST", "/pay/w50", &attempt, 8000, Some(&body));
+                if !is_troubled || index % LEAVING_EVERY != 0 {
+                    send(&record, to, &attempt, &bytes, 8000);
+                    return;
+                }
+                let Ok(mut stream) = http::connect_local(to) else {
+                    return;
+                };
+                let was_sent = stream.write_all(&bytes).is_ok();
+                std::thread::sleep(Duration::from_millis(300));
+                drop(stream);
+                let text = if was_sent {
+                    "all of its request"
+                } else {
+                    "a part of its request"
+                };
+                record.line(&format!("client {attempt} leaves; it had sent {text}"));
+                closed
+                    .lock()
+                    .expect("no holder panics")
+                    .insert(attempt, record.now());
+            }));
+        }
+        for client in clients {
+            let _ = client.join();
+        }
+        std::thread::sleep(Duration::from_secs(1));
+    }
+    ended(record, &mut fleet);
+    let events = events.lock().expect("no holder panics").clone();
+    let closed = closed.lock().expect("no holder panics");
+    let is_late = |event: &&server::Event| {
+        let left_at = closed.get(&event.attempt);
+        left_at.is_some_and(|left| event.at > *left + Duration::from_millis(500))
+    };
+    let late = events.iter().filter(is_late);
+    let late: Vec<&server::Event> = late.collect();
+    let count = |kind: &str| late.iter().filter(|event| event.kind == kind).count();
+    let (arrived, run) = (count("arrive"), count("run"));
+    record.line(&format!(
+        "{} clients left; {arrived} of their requests reached a server over half a second later, \
+         {run} were run there (a few, 5, allowed)",
+        closed.len()
+    ));
+    verdict(arrived > 5)
+}
+
+/// One of two servers spoils some answers: a line of the head tells another length than the chunks.
+fn spoilt(record: &record::Record, is_troubled: bool) -> Verdict {
+    let mut fleet = fleet::Fleet::start(record, 3, &["desk", "desk"]);
+    fleet.wait_ready_for(
+        &configuration(&["desk"], &[("/read/", "safe", "desk", 2.0)]),
+        2,
+    );
+    let events = new_events();
+    let mode = if is_troubled {
+        "chunked,spoils"
+    } else {
+        "chunked"
+    };
+    let _servers = [
+        server::Server::start(record, &events, &fleet, 1, ("i-faulty", "desk", mode)),
+        server::Server::start(record, &events, &fleet, 2, ("i-sound", "desk", "chunked")),
+    ];
+    if !wait_served(record, &fleet, 2, "/read/w20") {
+        return Verdict::NotRun;
+    }
+    settle();
+    let faults = Arc::new(AtomicU64::new(0));
+    let answers = Arc::new(AtomicU64::new(0));
+    let clients = (0..4_u8).map(|client| {
+        let to = fleet.outbound(client % 2 + 1);
+        let (record, faults) = (record.clone(), Arc::clone(&faults));
+        let answers = Arc::clone(&answers);
+        std::thread::spawn(move || {
+            let began = Instant::now();
+            let mut kept = None;
+            while began.elapsed() < Duration::from_secs(10) {
+                let connection = match kept.take() {
+                    Some(connection) => Ok(connection),
+                    None => http::connect_local(to).map(http::Connection::new),
+                };
+                let Ok(mut connection) = connection else {
+                    continue;
+                };
+                let attempt = attempt_id();
+                let bytes = encode("GET", "/read/w20", &attempt, 2000, None);
+                if connection.send(&bytes).is_err() {
+                    continue;
+                }
+                let until = Instant::now() + Duration::from_secs(3);
+                match connection.receive(until) {
+                    Ok(response) => {
+                        answers.fetch_add(1, Ordering::Relaxed);
+                        let text = String::from_utf8_lossy(&response.body).into_owned();
+                        let id = response.header("x-attempt-id").unwrap_or("none").to_owned();
+                        record.line(&format!("client {attempt} got {} {text}", response.status));
+                        let is_whole = text.ends_with(" ran /read/w20");
+                        if response.status == 200 && (!is_whole || id != attempt) {
+                            faults.fetch_add(1, Ordering::Relaxed);
+                            record.line(&format!(
+                                "client {attempt}: a success that is not the whole body: {text:?}"
+                            ));
+                        }
+                        kept = Some(connection);
+                    }
+                    Err(error) if error.kind() == std::io::ErrorKind::InvalidData => {
+                        faults.fetch_add(1, Ordering::Relaxed);
+                        record.line(&format!(
+                            "client {attempt}: bytes that are no answer on the kept connection"
+                        ));
+                    }
+                    Err(error) => {
+                        record.line(&format!("client {attempt} got no answer: {error}"));
+                    }
+                }
+            }
+        })
+    });
+    for client in clients.collect::<Vec<_>>() {
+        let _ = client.join();
+    }
+    ended(record, &mut fleet);
+    let events = events.lock().expect("no holder panics").clone();
+    let spoilt = events.iter().filter(|event| event.kind == "spoilt").count();
+    let (answers, faults) = (
+        answers.load(Ordering::Relaxed),
+        faults.load(Ordering::Relaxed),
+    );
+    record.line(&format!(
+        "{answers} answers, {spoilt} spoilt by the faulty server; {faults} successes that were not \
+         the whole body or belonged to another request, or bytes that are no answer (0 allowed)"
+    ));
+    verdict(faults > 0)
+}
