--- a/review/stand-2/cases.rs
+++ b/review/stand-2/cases.rs
@@ -457,7 +457,7 @@
     const CLIENTS: usize = 20;
     /// One of so many clients leaves.
     const LEAVING_EVERY: usize = 5;
-    const BODY_BYTES: usize = 200_000;
+    const BODY_BYTES: usize = 120_000;
     let mut fleet = fleet::Fleet::start(record, 3, &["desk", "other"]);
     let routes = [
         ("/read/", "safe", "desk", 8.0),
@@ -498,13 +498,17 @@
                 };
                 let was_sent = stream.write_all(&bytes).is_ok();
                 std::thread::sleep(Duration::from_millis(300));
+                let own = stream.local_addr();
                 drop(stream);
-                let text = if was_sent {
-                    "all of its request"
-                } else {
-                    "a part of its request"
-                };
-                record.line(&format!("client {attempt} leaves; it had sent {text}"));
+                std::thread::sleep(Duration::from_millis(100));
+                let has_arrived = own.is_ok_and(|own| http::has_close_arrived(to, own));
+                record.line(&format!(
+                    "client {attempt} left; all was sent: {was_sent}; its close is there: \
+                     {has_arrived}"
+                ));
+                if !has_arrived {
+                    return;
+                }
                 closed
                     .lock()
                     .expect("no holder panics")
--- a/review/stand-2/http.rs
+++ b/review/stand-2/http.rs
@@ -216,3 +216,22 @@
     connection.send(request)?;
     connection.receive(Instant::now() + timeout)
 }
+
+/// Returns whether the system of a node's machine has received the end of a client's connection, which
+/// the node's process has not closed yet.
+pub fn has_close_arrived(node: SocketAddr, client: SocketAddr) -> bool {
+    const CLOSE_WAIT: &str = "08";
+    let encode = |address: SocketAddr| match address {
+        SocketAddr::V4(v4) => {
+            let ip = u32::from_ne_bytes(v4.ip().octets());
+            format!("{ip:08X}:{:04X}", v4.port())
+        }
+        SocketAddr::V6(_) => String::new(),
+    };
+    let wanted = [encode(node), encode(client), CLOSE_WAIT.to_owned()];
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
+    table.lines().any(|line| {
+        let words: Vec<&str> = line.split_whitespace().skip(1).take(3).collect();
+        words == wanted
+    })
+}
