--- a/review/stand-2/cases.rs
+++ b/review/stand-2/cases.rs
@@ -115,8 +115,19 @@
     bytes
 }
 
-/// Sends a request on a new connection at a node and records the answer.
+/// Records that a client sends a request.
+fn record_sent(record: &record::Record, to: SocketAddr, attempt: &str, bytes: &[u8]) {
+    let line = bytes
+        .split(|byte| *byte == b'\r')
+        .next()
+        .unwrap_or_default();
+    let line = String::from_utf8_lossy(line);
+    record.line(&format!("client {attempt} sends {line} at {to}"));
+}
+
+/// Sends a request on a new connection at a node and records both it and the answer.
 fn send(record: &record::Record, to: SocketAddr, attempt: &str, bytes: &[u8], ms: u64) -> u16 {
+    record_sent(record, to, attempt, bytes);
     let sent = http::connect_local(to).and_then(|stream| {
         let mut connection = http::Connection::new(stream);
         connection.send(bytes)?;
@@ -262,7 +273,6 @@
             } else {
                 encode("POST", "/pay/crash", &attempt, 1500, Some(body.as_bytes()))
             };
-            record.line(&format!("client {attempt} sends /pay/crash at node {node}"));
             sent.insert(attempt.clone(), (record.now(), node));
             send(record, outbound, &attempt, &bytes, 1500);
         } else {
@@ -443,7 +453,10 @@
                 for attempt in &attempts {
                     batch.extend(encode("GET", "/read/w100", attempt, 2000, None));
                 }
-                record.line(&format!("client {client} sends {}", attempts.join(" ")));
+                record.line(&format!(
+                    "client {client} sends GET /read/w100 at {to}, in one go: {}",
+                    attempts.join(" ")
+                ));
                 if connection.send(&batch).is_err() {
                     continue;
                 }
@@ -495,9 +508,9 @@
 fn first_request(record: &record::Record, to: SocketAddr) -> Option<http::Connection> {
     let mut connection = http::Connection::new(http::connect_local(to).ok()?);
     let attempt = attempt_id();
-    connection
-        .send(&encode("GET", "/read/w20", &attempt, 2000, None))
-        .ok()?;
+    let bytes = encode("GET", "/read/w20", &attempt, 2000, None);
+    record_sent(record, to, &attempt, &bytes);
+    connection.send(&bytes).ok()?;
     let response = connection
         .receive(Instant::now() + Duration::from_secs(3))
         .ok()?;
@@ -553,6 +566,7 @@
                 let Ok(mut stream) = http::connect_local(to) else {
                     return;
                 };
+                record_sent(&record, to, &attempt, &bytes);
                 let was_sent = stream.write_all(&bytes).is_ok();
                 std::thread::sleep(Duration::from_millis(300));
                 let own = stream.local_addr();
@@ -641,6 +655,7 @@
                 };
                 let attempt = attempt_id();
                 let bytes = encode("GET", "/read/w20", &attempt, 2000, None);
+                record_sent(&record, to, &attempt, &bytes);
                 if connection.send(&bytes).is_err() {
                     continue;
                 }
