--- a/review/stand-2/cases.rs
+++ b/review/stand-2/cases.rs
@@ -41,6 +41,10 @@
     }
 }
 
+/// How long a server is in trouble at a time, and the pause before the next time.
+const TROUBLE_TIME: Duration = Duration::from_secs(5);
+const CALM_TIME: Duration = Duration::from_secs(3);
+
 static LAST_ATTEMPT: AtomicU64 = AtomicU64::new(0);
 
 fn attempt_id() -> String {
@@ -405,14 +409,16 @@
     verdict(wrong > 0)
 }
 
-/// Clients send further requests before the first is answered; one of two servers breaks off some
+/// Clients send further requests before the first is answered; one of three servers breaks off some
 /// answers.
 fn pipeline(record: &record::Record, is_troubled: bool) -> Verdict {
     const BATCH: usize = 8;
-    let mut fleet = fleet::Fleet::start(record, 3, &["desk", "desk"]);
+    const TIMES: u32 = 4;
+    let length = (TROUBLE_TIME + CALM_TIME) * TIMES;
+    let mut fleet = fleet::Fleet::start(record, 3, &["desk", "desk", "desk"]);
     fleet.wait_ready_for(
         &configuration(&["desk"], &[("/read/", "safe", "desk", 2.0)]),
-        2,
+        3,
     );
     let events = new_events();
     let mode = if is_troubled {
@@ -420,27 +426,33 @@
     } else {
         "chunked"
     };
-    let _servers = [
+    let mut servers = [
         server::Server::start(record, &events, fleet.node(1), ("i-faulty", "desk", mode)),
         server::Server::start(
             record,
             &events,
             fleet.node(2),
-            ("i-sound", "desk", "chunked"),
+            ("i-sound-1", "desk", "chunked"),
+        ),
+        server::Server::start(
+            record,
+            &events,
+            fleet.node(3),
+            ("i-sound-2", "desk", "chunked"),
         ),
     ];
-    if !wait_served(record, &fleet, 2, "/read/w20") {
+    if !wait_served(record, &fleet, 3, "/read/w20") {
         return Verdict::NotRun;
     }
     settle();
     let lost = Arc::new(Mutex::new(Vec::new()));
-    let clients = (0..4_u8).map(|client| {
-        let to = fleet.node(client % 2 + 1).outbound;
+    let clients = (0..6_u8).map(|client| {
+        let to = fleet.node(client % 3 + 1).outbound;
         let (record, lost) = (record.clone(), Arc::clone(&lost));
         std::thread::spawn(move || {
             let began = Instant::now();
             let mut kept = None;
-            while began.elapsed() < Duration::from_secs(20) {
+            while began.elapsed() < length {
                 let mut connection = match kept.take() {
                     Some(connection) => connection,
                     None => match first_request(&record, to) {
@@ -484,7 +496,14 @@
             }
         })
     });
-    for client in clients.collect::<Vec<_>>() {
+    let clients: Vec<_> = clients.collect();
+    for _ in 0..TIMES {
+        servers[0].set_troubled(record, true);
+        std::thread::sleep(TROUBLE_TIME);
+        servers[0].set_troubled(record, false);
+        std::thread::sleep(CALM_TIME);
+    }
+    for client in clients {
         let _ = client.join();
     }
     ended(record, &mut fleet);
@@ -492,7 +511,7 @@
     let lost = lost.lock().expect("no holder panics");
     let at_sound = lost.iter().filter(|attempt| {
         let mut runs = events.iter().filter(|event| event.attempt == **attempt);
-        runs.any(|event| event.kind == "run" && event.server == "i-sound")
+        runs.any(|event| event.kind == "run" && event.server.starts_with("i-sound"))
     });
     let at_sound = at_sound.count();
     let broken = events.iter().filter(|event| event.kind == "broke").count();
@@ -529,13 +548,17 @@
     const LEAVING_EVERY: usize = 5;
     const BODY_BYTES: usize = 120_000;
     let mut fleet = fleet::Fleet::start(record, 3, &["desk", "other"]);
+    // Figures of a small deployment: a target latency of 1.5 s and runs of at most 0.7 s.
     let routes = [
-        ("/read/", "safe", "desk", 8.0),
-        ("/pay/", "unsafe", "desk", 8.0),
+        ("/read/", "safe", "desk", 5.0),
+        ("/pay/", "unsafe", "desk", 5.0),
     ];
-    fleet.wait_ready_for(&configuration_within(&["desk", "other"], &routes, 6.0), 2);
+    fleet.wait_ready_for(&configuration_within(&["desk", "other"], &routes, 1.5), 2);
     let events = new_events();
-    let _server = server::Server::start(record, &events, fleet.node(1), ("i-1", "desk", "sound"));
+    let _servers = [
+        server::Server::start(record, &events, fleet.node(1), ("i-1", "desk", "sound")),
+        server::Server::start(record, &events, fleet.node(2), ("i-2", "other", "sound")),
+    ];
     if !wait_served(record, &fleet, 2, "/read/w20") {
         return Verdict::NotRun;
     }
@@ -544,12 +567,12 @@
     let closed = Arc::new(Mutex::new(HashMap::new()));
     for _round in 0..ROUNDS {
         let mut clients = Vec::new();
-        for _slot in 0..6 {
+        for _ in 0..12 {
             let record = record.clone();
             clients.push(std::thread::spawn(move || {
                 let attempt = attempt_id();
-                let bytes = encode("POST", "/pay/w2000", &attempt, 8000, Some(b"x"));
-                send(&record, to, &attempt, &bytes, 8000);
+                let bytes = encode("POST", "/pay/w700", &attempt, 5000, Some(b"x"));
+                send(&record, to, &attempt, &bytes, 5000);
             }));
         }
         std::thread::sleep(Duration::from_millis(200));
@@ -558,9 +581,9 @@
             clients.push(std::thread::spawn(move || {
                 let attempt = attempt_id();
                 let body = vec![b'y'; BODY_BYTES];
-                let bytes = encode("POST", "/pay/w50", &attempt, 8000, Some(&body));
+                let bytes = encode("POST", "/pay/w50", &attempt, 5000, Some(&body));
                 if !is_troubled || index % LEAVING_EVERY != 0 {
-                    send(&record, to, &attempt, &bytes, 8000);
+                    send(&record, to, &attempt, &bytes, 5000);
                     return;
                 }
                 let Ok(mut stream) = http::connect_local(to) else {
@@ -610,12 +633,14 @@
     verdict(arrived > 5)
 }
 
-/// One of two servers spoils some answers: a line of the head tells another length than the chunks.
+/// One of three servers spoils some answers: a line of the head tells another length than the chunks.
 fn spoilt(record: &record::Record, is_troubled: bool) -> Verdict {
-    let mut fleet = fleet::Fleet::start(record, 3, &["desk", "desk"]);
+    const TIMES: u32 = 2;
+    let length = (TROUBLE_TIME + CALM_TIME) * TIMES;
+    let mut fleet = fleet::Fleet::start(record, 3, &["desk", "desk", "desk"]);
     fleet.wait_ready_for(
         &configuration(&["desk"], &[("/read/", "safe", "desk", 2.0)]),
-        2,
+        3,
     );
     let events = new_events();
     let mode = if is_troubled {
@@ -623,29 +648,35 @@
     } else {
         "chunked"
     };
-    let _servers = [
+    let mut servers = [
         server::Server::start(record, &events, fleet.node(1), ("i-faulty", "desk", mode)),
         server::Server::start(
             record,
             &events,
             fleet.node(2),
-            ("i-sound", "desk", "chunked"),
+            ("i-sound-1", "desk", "chunked"),
+        ),
+        server::Server::start(
+            record,
+            &events,
+            fleet.node(3),
+            ("i-sound-2", "desk", "chunked"),
         ),
     ];
-    if !wait_served(record, &fleet, 2, "/read/w20") {
+    if !wait_served(record, &fleet, 3, "/read/w20") {
         return Verdict::NotRun;
     }
     settle();
     let faults = Arc::new(AtomicU64::new(0));
     let answers = Arc::new(AtomicU64::new(0));
-    let clients = (0..4_u8).map(|client| {
-        let to = fleet.node(client % 2 + 1).outbound;
+    let clients = (0..6_u8).map(|client| {
+        let to = fleet.node(client % 3 + 1).outbound;
         let (record, faults) = (record.clone(), Arc::clone(&faults));
         let answers = Arc::clone(&answers);
         std::thread::spawn(move || {
             let began = Instant::now();
             let mut kept = None;
-            while began.elapsed() < Duration::from_secs(10) {
+            while began.elapsed() < length {
                 let connection = match kept.take() {
                     Some(connection) => Ok(connection),
                     None => http::connect_local(to).map(http::Connection::new),
@@ -691,7 +722,14 @@
             }
         })
     });
-    for client in clients.collect::<Vec<_>>() {
+    let clients: Vec<_> = clients.collect();
+    for _ in 0..TIMES {
+        servers[0].set_troubled(record, true);
+        std::thread::sleep(TROUBLE_TIME);
+        servers[0].set_troubled(record, false);
+        std::thread::sleep(CALM_TIME);
+    }
+    for client in clients {
         let _ = client.join();
     }
     ended(record, &mut fleet);
--- a/review/stand-2/server.rs
+++ b/review/stand-2/server.rs
@@ -7,7 +7,7 @@
     process::{Child, Command, Stdio},
     sync::{
         Arc, Condvar, Mutex,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -17,8 +17,8 @@
 /// Requests that a server runs at once, and that it queues beyond them.
 const SLOTS: usize = 6;
 const QUEUE: usize = 24;
-/// A faulty server spoils one of so many answers.
-const SPOILT_EVERY: u64 = 20;
+/// A faulty server spoils one of so many answers while it is in trouble.
+const SPOILT_EVERY: u64 = 50;
 
 /// What a server told of a request.
 #[derive(Debug, Clone)]
@@ -52,7 +52,7 @@
             .args(["server", id, service, mode])
             .arg(beside.app.to_string())
             .arg(beside.heartbeats.to_string())
-            .stdin(Stdio::null())
+            .stdin(Stdio::piped())
             .stdout(Stdio::piped())
             .spawn()
             .expect("a server can be started");
@@ -84,6 +84,15 @@
         Self { child, id }
     }
 
+    /// Begins or ends the trouble that the mode of the server names.
+    pub fn set_troubled(&mut self, record: &record::Record, is_troubled: bool) {
+        let word = if is_troubled { "on" } else { "off" };
+        record.line(&format!("trouble of {} {word}", self.id));
+        if let Some(input) = &mut self.child.stdin {
+            let _ = writeln!(input, "{word}");
+        }
+    }
+
     /// Returns whether the process has ended.
     pub fn has_ended(&mut self) -> bool {
         self.child.try_wait().ok().flatten().is_some()
@@ -113,6 +122,8 @@
     service: String,
     mode: String,
     slots: Slots,
+    /// Whether the trouble that the mode names is there at present.
+    is_troubled: AtomicBool,
     answers: AtomicU64,
 }
 
@@ -128,12 +139,20 @@
         id: id.clone(),
         service: service.clone(),
         mode: mode.clone(),
+        is_troubled: AtomicBool::new(false),
         answers: AtomicU64::new(0),
         slots: Slots {
             used: Mutex::new((0, 0)),
             freed: Condvar::new(),
         },
     });
+    let state = Arc::clone(&shared);
+    std::thread::spawn(move || {
+        for word in std::io::stdin().lines().map_while(Result::ok) {
+            let is_troubled = word == "on";
+            state.is_troubled.store(is_troubled, Ordering::Relaxed);
+        }
+    });
     let announcer = Arc::clone(&shared);
     std::thread::spawn(move || announce(&announcer, address, heartbeats));
     for stream in listener.incoming().flatten() {
@@ -381,9 +400,11 @@
     digits.parse().ok()
 }
 
-/// Returns whether this answer is one of those that a faulty server spoils: each twentieth.
+/// Returns whether this answer is one of those that a faulty server spoils: each fiftieth while it is in
+/// trouble.
 fn is_troubled_answer(shared: &Shared) -> bool {
-    shared.answers.fetch_add(1, Ordering::Relaxed) % SPOILT_EVERY == SPOILT_EVERY - 1
+    shared.is_troubled.load(Ordering::Relaxed)
+        && shared.answers.fetch_add(1, Ordering::Relaxed) % SPOILT_EVERY == SPOILT_EVERY - 1
 }
 
 /// Returns whether the other side has closed the connection.
