Log what a control group without a leader knows

After a final fault the log of a control told leader_lost and then nothing: a folder that was cut, a majority that was lost and an election that did not succeed looked the same.

folder_opened tells at each start what the folder held, with replica, voters and vote; voters_known each change of the voters and its commit; leader_missing every 2 s which voters are heard, which are missing and how many are needed; read_refused why a read got no configuration.

control_group::reports::lost_majority_reported loses two of three real processes and reads all of it from the log of the third.

--- a/crates/daemon/src/observer.rs
+++ b/crates/daemon/src/observer.rs
@@ -18,8 +18,10 @@
 
 use crate::{metrics, timeline};
 
+pub use control_group::folder_event;
 use engine_timeline::{CallFailure, RefusalProof, TimelineEvent};
 
+mod control_group;
 mod fleet;
 mod usage;
 mod versions;
--- a/crates/daemon/src/observer/fleet.rs
+++ b/crates/daemon/src/observer/fleet.rs
@@ -1,24 +1,23 @@
-//! Detects changes of leaders, voters, members and links, and records them in the timeline.
+//! Detects changes of members and links, and records them in the timeline.
 
 use std::net::SocketAddr;
 
 use hazeltiller_engine::{
     membership::table as membership,
-    reducer, replication,
+    reducer,
     timeline::{MemberView, TimelineEvent},
 };
 use hazeltiller_units::ids;
 use indexmap::{IndexMap, IndexSet};
 
+use super::control_group;
 use crate::timeline;
 
 /// The state of the fleet as it was last recorded.
 #[derive(Debug, Default)]
 pub(super) struct FleetMonitor {
     lost_links: IndexSet<SocketAddr>,
-    leader: Option<SocketAddr>,
-    /// Voters that did not answer this process at the last check; empty unless it is the leader.
-    silent_voters: IndexSet<ids::InstanceName>,
+    group: control_group::GroupMonitor,
     member_views: IndexMap<ids::InstanceName, MemberView>,
     membership_revision: u64,
 }
@@ -26,49 +25,10 @@
 impl FleetMonitor {
     /// Records what has changed since the last check.
     pub(super) fn check(&mut self, state: &reducer::EngineState, timeline: &timeline::Timeline) {
-        self.check_leader(state, timeline);
+        self.group.check(state, timeline);
         self.check_members(state, timeline);
     }
 
-    fn check_leader(&mut self, state: &reducer::EngineState, timeline: &timeline::Timeline) {
-        let Some(view) = replication::GroupView::of(state) else {
-            return;
-        };
-        self.check_voters(&view, timeline);
-        if view.leader == self.leader {
-            return;
-        }
-        self.leader = view.leader;
-        let term = view.term;
-        timeline.record(match view.leader {
-            Some(leader) => TimelineEvent::LeaderKnown { term, leader },
-            None => TimelineEvent::LeaderLost { term },
-        });
-    }
-
-    /// Records voters that stop or resume answering, with the remaining margin to the majority. The
-    /// group gives no other sign that the loss of one more voter may leave it without a majority.
-    fn check_voters(&mut self, view: &replication::GroupView, timeline: &timeline::Timeline) {
-        let (alive, majority) = (view.alive_voters(), view.majority());
-        let silent = select_voters(view, replication::VoterView::is_silent);
-        for voter in silent.difference(&self.silent_voters).cloned() {
-            timeline.record(TimelineEvent::VoterSilent {
-                voter,
-                alive,
-                majority,
-            });
-        }
-        let answering = select_voters(view, replication::VoterView::is_answering);
-        for voter in self.silent_voters.intersection(&answering).cloned() {
-            timeline.record(TimelineEvent::VoterBack {
-                voter,
-                alive,
-                majority,
-            });
-        }
-        self.silent_voters = silent;
-    }
-
     fn check_members(&mut self, state: &reducer::EngineState, timeline: &timeline::Timeline) {
         if self.membership_revision == state.membership.revision {
             return;
@@ -125,12 +85,3 @@
         }
     }
 }
-
-/// Returns the names of the voters that satisfy a predicate.
-fn select_voters(
-    view: &replication::GroupView,
-    predicate: impl Fn(&replication::VoterView) -> bool,
-) -> IndexSet<ids::InstanceName> {
-    let voters = view.members.iter().filter(|member| predicate(member));
-    voters.filter_map(|voter| voter.instance.clone()).collect()
-}
--- a/crates/daemon/src/operators/changes.rs
+++ b/crates/daemon/src/operators/changes.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use hazeltiller_catalogue::change;
-use hazeltiller_engine::{replication, settings};
+use hazeltiller_engine::{replication, settings, timeline::TimelineEvent};
 use hazeltiller_units::{code, ids};
 use hazeltiller_wire::replication as wire;
 use http_body_util::{BodyExt, Limited};
@@ -44,9 +44,27 @@
 /// Returns the current revision, confirmed by a majority of the voters.
 pub(super) async fn get_revision(context: &process::ProcessContext) -> Response<http::StreamBody> {
     let local_answer = context.engine.read_revision();
-    proposal_response(
-        answer_or_forward(context, local_answer, questions::LeaderRequest::Revision).await,
-    )
+    let answer = answer_or_forward(context, local_answer, questions::LeaderRequest::Revision).await;
+    record_read(context, &answer).await;
+    proposal_response(answer)
+}
+
+/// Records why a read was refused, if it was.
+pub(super) async fn record_read(
+    context: &process::ProcessContext,
+    answer: &replication::ProposalAnswer,
+) {
+    let replication::ProposalAnswer::Refused { code, .. } = answer else {
+        return;
+    };
+    let view = context.engine.inspect(replication::GroupView::of).await;
+    if let Some(view) = view.flatten() {
+        context.timeline.record(TimelineEvent::ReadRefused {
+            code: *code,
+            role: view.role,
+            is_proven: view.is_proven_current,
+        });
+    }
 }
 
 /// Proposes a change.
--- a/crates/daemon/src/operators/revision.rs
+++ b/crates/daemon/src/operators/revision.rs
@@ -115,7 +115,9 @@
 }
 
 async fn read(context: &process::ProcessContext) -> dialect::OperatorResponse {
-    match confirmed_revision(context).await {
+    let answer = confirmed_revision(context).await;
+    changes::record_read(context, &answer).await;
+    match answer {
         replication::ProposalAnswer::Current { revision, .. }
             if revision.label == ids::RevisionLabel::default() =>
         {
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -250,6 +250,7 @@
     registry: &critical_tasks::TaskRegistry,
 ) -> Result<Arc<ProcessContext>, StartError> {
     let mut is_new_store = false;
+    let mut cut_bytes = 0;
     let (store, recovered) = if credentials.identity.is_control {
         let folder = settings
             .data_folder
@@ -264,6 +265,7 @@
         let (file, recovered, existed) = opened;
         snafu::ensure!(!options.bootstrap || !existed, DataFolderNotEmptySnafu);
         is_new_store = !existed;
+        cut_bytes = file.cut_bytes();
         let tunables = &settings.tunables.replication;
         let state = replication::ReplicationState::recover(recovered, tunables);
         (Some(file), Some(state))
@@ -313,6 +315,9 @@
     timeline.record(engine_timeline::TimelineEvent::ProcessStarted {
         incarnation: credentials.identity.incarnation,
     });
+    if let Some(view) = replication::GroupView::of(&state) {
+        timeline.record(observer::folder_event(&view, is_new_store, cut_bytes));
+    }
     let bytes = byte_counts::ByteCounts::default();
     let link = link_shares::LinkShares::new(&settings.tunables.bandwidth);
     let (links, lost_links) = links::LinkTable::new(credentials.clone(), bytes.clone());
--- a/crates/engine/src/replication.rs
+++ b/crates/engine/src/replication.rs
@@ -189,6 +189,8 @@
     proven_at: Option<time::MonotonicTime>,
     /// When this replica next stands for election, unless it hears from a leader before.
     election_at: Option<time::MonotonicTime>,
+    /// When a message last came from each other voter.
+    voters_heard_at: IndexMap<ids::ReplicaId, time::MonotonicTime>,
     write_queue: persist::WriteQueue,
     /// Latest introductions received while the group is bootstrapped, by peer address.
     introductions: IndexMap<SocketAddr, group::IntroducedReplica>,
@@ -260,6 +262,7 @@
             leader_heard_at: None,
             proven_at: None,
             election_at: None,
+            voters_heard_at: IndexMap::new(),
             write_queue: persist::WriteQueue::after(last, snapshot.mark.position),
             introductions: IndexMap::new(),
             introduced_at: None,
@@ -450,6 +453,9 @@
             return;
         }
         let replica = message.from;
+        if self.log.group().has_voter(replica) {
+            self.voters_heard_at.insert(replica, context.now);
+        }
         let term = message.term;
         match message.body {
             wire::ReplicationBody::Introduce(introduction) => {
--- a/crates/engine/src/replication/view.rs
+++ b/crates/engine/src/replication/view.rs
@@ -46,6 +46,8 @@
     pub is_proven_current: bool,
     /// Whether the store has failed and is not yet rewritten.
     pub has_failed: bool,
+    /// Whether the latest change of the voters is known to be committed.
+    pub is_group_committed: bool,
     /// The voters, then the learners known to the leader.
     pub members: Vec<VoterView>,
 }
@@ -97,6 +99,7 @@
             commit: replication.commit,
             is_proven_current: super::is_proven_current(state),
             has_failed: replication.has_failed(),
+            is_group_committed: replication.log.group_position() <= replication.commit,
             members: replication.members(state),
         })
     }
@@ -128,6 +131,14 @@
         voters.map(|voter| &voter.instance)
     }
 
+    /// Returns whether a voter is this replica or has sent it a message within an election timeout.
+    pub fn has_heard(&self, state: &reducer::EngineState, voter: ids::ReplicaId) -> bool {
+        let period = settings::millis(state.settings.tunables.replication.election_ms);
+        let heard_at = self.voters_heard_at.get(&voter);
+        voter == self.hard_state.replica
+            || heard_at.is_some_and(|heard_at| state.now.since(*heard_at) < period)
+    }
+
     /// Id of this replica.
     pub fn replica(&self) -> ids::ReplicaId {
         self.hard_state.replica
--- a/crates/engine/src/timeline.rs
+++ b/crates/engine/src/timeline.rs
@@ -95,6 +95,18 @@
     Pull,
 }
 
+/// State of a control's data folder when it was opened.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum FolderFinding {
+    /// It held no log; the replica is new.
+    New,
+    /// It held a complete log.
+    Whole,
+    /// It held a log whose last write was never synced; that write was cut off.
+    Cut,
+}
+
 /// An event of the timeline.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "snake_case")]
@@ -104,6 +116,58 @@
         /// Incarnation of the process.
         incarnation: ids::IncarnationNumber,
     },
+    /// A control has opened its data folder.
+    FolderOpened {
+        /// Id of its replica.
+        replica: ids::ReplicaId,
+        /// State of the folder.
+        found: FolderFinding,
+        /// Bytes of an unsynced write that were cut off.
+        cut_bytes: u64,
+        /// Latest known term.
+        term: ids::LeaderTerm,
+        /// Last position of the log.
+        last: ids::LogPosition,
+        /// Last position known to be committed.
+        commit: ids::LogPosition,
+        /// Instances of the voters.
+        voters: Vec<ids::InstanceName>,
+        /// Whether this replica is one of them.
+        is_voter: bool,
+    },
+    /// The voters known to this control have changed, or their change is now committed.
+    VotersKnown {
+        /// Instances of the voters.
+        voters: Vec<ids::InstanceName>,
+        /// Their replicas, in the same order.
+        replicas: Vec<ids::ReplicaId>,
+        /// Whether the change that made them voters is committed.
+        is_committed: bool,
+    },
+    /// No leader of the control group is confirmed by a majority. Repeated while that lasts.
+    LeaderMissing {
+        /// Role of this replica.
+        role: String,
+        /// Current term.
+        term: ids::LeaderTerm,
+        /// Duration so far.
+        for_ms: u64,
+        /// Voters heard from within an election timeout, this replica included if it is one.
+        heard: Vec<ids::InstanceName>,
+        /// The other voters.
+        missing: Vec<ids::InstanceName>,
+        /// Number of voters that an election requires.
+        majority: usize,
+    },
+    /// A read of the revision was refused at this control.
+    ReadRefused {
+        /// Reason of the refusal.
+        code: code::ResultCode,
+        /// Role of this replica.
+        role: String,
+        /// Whether a majority has confirmed that it is up to date.
+        is_proven: bool,
+    },
     /// The process was asked to stop.
     ProcessStopping,
     /// An operator proposed a change at this process.
@@ -618,6 +682,8 @@
                 | Self::LogReported { .. }
                 | Self::VersionRefused { .. }
                 | Self::LeaderLost { .. }
+                | Self::LeaderMissing { .. }
+                | Self::ReadRefused { .. }
                 | Self::VoterSilent { .. }
                 | Self::LinkLost { .. }
                 | Self::TargetEjected { .. }
--- a/crates/store/src/file.rs
+++ b/crates/store/src/file.rs
@@ -30,6 +30,7 @@
     folder: PathBuf,
     log: fs::File,
     has_failed: bool,
+    cut_bytes: u64,
     /// Holds the lock on the folder while it is open.
     _lock: fs::File,
 }
@@ -105,11 +106,17 @@
             folder: folder.into(),
             log,
             has_failed: false,
+            cut_bytes: content.torn_bytes as u64,
             _lock: lock,
         };
         Ok((store, recovered, !is_new))
     }
 
+    /// Number of bytes of an unsynced write that were cut off when the folder was opened.
+    pub fn cut_bytes(&self) -> u64 {
+        self.cut_bytes
+    }
+
     /// Writes batches, joining adjacent ones into one write, and syncs each write before the next.
     /// After a power loss the second of two unsynced writes may be on disk without the first, and a
     /// record after such a gap would count as damage.
--- a/tests/all/control_group.rs
+++ b/tests/all/control_group.rs
@@ -1,5 +1,7 @@
 //! Fixtures for tests that inject faults into a control group of three processes.
 
+mod reports;
+
 use hazeltiller_testkit::{fleet, wait};
 use serde_json::{Value, json};
 
