Bring about the unreadable configuration, red

torn_write_refused leaves each combination of the sectors of a write that was never synced, with the file at its new length: HZ5002 for most, and also where nothing of the write is there, since its record begins in a sector that a synced write already filled.

power_loss plays random losses of power, disks, links and machines with the reducer and the real store, and asks for a leader with all that was acknowledged within 15 s after everything is back.

synced_sector_lost, green, keeps the other side: a sector that is missing before a later synced write is damage.

--- a/crates/engine/tests/replication.rs
+++ b/crates/engine/tests/replication.rs
@@ -6,6 +6,8 @@
 mod healing;
 #[path = "replication/network.rs"]
 mod network;
+#[path = "replication/power_loss.rs"]
+mod power_loss;
 #[path = "replication/racing.rs"]
 mod racing;
 #[path = "replication/rollouts.rs"]
--- a/crates/engine/tests/replication/disk.rs
+++ b/crates/engine/tests/replication/disk.rs
@@ -1,8 +1,11 @@
-//! An in-memory disk that stores batches once they are synced, or fails every write.
+//! A disk that stores batches once they are synced, or fails every write. It is in memory, or a data
+//! folder of the real store.
 
 use hazeltiller_engine::replication;
 use hazeltiller_wire::replication as wire;
 
+use super::files;
+
 /// A control's disk with its unsynced writes.
 #[derive(Debug, Default)]
 pub(crate) struct FakeDisk {
@@ -15,13 +18,16 @@
     pub(crate) is_failing: bool,
     /// Set from a failed sync until the next full rewrite, as in `hazeltiller_store::LogStore`.
     has_failed: bool,
+    /// The data folder, unless the disk is in memory.
+    files: Option<files::FileDisk>,
 }
 
 impl FakeDisk {
-    pub(crate) fn new(stored: replication::RecoveredLog) -> Self {
+    pub(crate) fn new(stored: replication::RecoveredLog, files: Option<files::FileDisk>) -> Self {
         Self {
             last_hard_state: Some(stored.hard),
             stored,
+            files,
             ..Self::default()
         }
     }
@@ -48,9 +54,7 @@
             return Some(replication::ReplicationEvent::StoreFailed);
         }
         self.has_failed = false;
-        for batch in batches {
-            self.write(batch);
-        }
+        self.write_all(batches);
         Some(replication::ReplicationEvent::Persisted { batch: last })
     }
 
@@ -58,11 +62,37 @@
     pub(crate) fn crash(&mut self, kept: usize) {
         let batches = self.take_writable();
         let kept = if self.is_failing { 0 } else { kept };
-        for batch in batches.into_iter().take(kept) {
-            self.write(batch);
+        self.write_all(batches.into_iter().take(kept).collect());
+        self.has_failed = false;
+        self.last_hard_state = Some(self.stored.hard);
+    }
+
+    /// Simulates a loss of power during the next write, of which any part stays on disk.
+    pub(crate) fn cut_power(&mut self, luck: u64) {
+        let batches = self.take_writable();
+        if let Some(files) = self.files.as_mut().filter(|_| !self.is_failing) {
+            files.write_torn(batches, luck);
         }
         self.has_failed = false;
+    }
+
+    /// Reads what a starting process recovers; returns whether it takes its folder.
+    pub(crate) fn open(&mut self) -> bool {
+        if let Some(files) = &mut self.files {
+            match files.open() {
+                Some(stored) => self.stored = stored,
+                None => return false,
+            }
+        }
         self.last_hard_state = Some(self.stored.hard);
+        true
+    }
+
+    fn write_all(&mut self, batches: Vec<replication::PersistBatch>) {
+        match &mut self.files {
+            Some(files) => files.write(batches),
+            None => batches.into_iter().for_each(|batch| self.write(batch)),
+        }
     }
 
     /// Takes the queued batches that a store would write: after a failure only those from a full
--- a/crates/engine/tests/replication/network.rs
+++ b/crates/engine/tests/replication/network.rs
@@ -2,6 +2,7 @@
 //! step.
 
 mod disk;
+mod files;
 mod messages;
 
 use std::{net::SocketAddr, time::Duration};
@@ -66,6 +67,8 @@
     voters: u64,
     /// Largest number of entries in a message.
     append_entries: u64,
+    /// Whether the disks are data folders of the real store.
+    has_files: bool,
 }
 
 impl Default for GroupPlan {
@@ -74,6 +77,7 @@
             initial_voters: 0,
             voters: 0,
             append_entries: settings::ReplicationTunables::default().append_entries,
+            has_files: false,
         }
     }
 }
@@ -143,6 +147,30 @@
         Self::with_plan(count, plan)
     }
 
+    /// Adds a control that is not running yet, with an empty disk and an address that no settings list.
+    pub(crate) fn add_spare(&mut self) {
+        let stored = self.empty_disk(false);
+        let disk = self.disk_with(stored.clone());
+        let index = self.controls.len();
+        self.controls.push(FakeControl {
+            state: engine_state(index, self.plan, stored),
+            is_running: false,
+            disk,
+            version: ids::CatalogueVersion::default(),
+        });
+    }
+
+    /// A self-healing group of three voters whose disks are data folders of the real store.
+    pub(crate) fn with_files(count: usize) -> Self {
+        let plan = GroupPlan {
+            initial_voters: count.min(3),
+            voters: 3,
+            has_files: true,
+            ..GroupPlan::default()
+        };
+        Self::with_plan(count, plan)
+    }
+
     fn with_plan(count: usize, plan: GroupPlan) -> Self {
         let mut network = Self {
             plan,
@@ -159,11 +187,12 @@
             committed: IndexMap::new(),
         };
         for index in 0..count {
-            let disk = network.empty_disk(true);
+            let stored = network.empty_disk(true);
+            let disk = network.disk_with(stored.clone());
             network.controls.push(FakeControl {
-                state: engine_state(index, plan, disk.clone()),
+                state: engine_state(index, plan, stored),
                 is_running: true,
-                disk: disk::FakeDisk::new(disk),
+                disk,
                 version: ids::CatalogueVersion::default(),
             });
         }
@@ -183,6 +212,14 @@
         }
     }
 
+    fn disk_with(&self, stored: replication::RecoveredLog) -> disk::FakeDisk {
+        let files = self
+            .plan
+            .has_files
+            .then(|| files::FileDisk::new(stored.hard));
+        disk::FakeDisk::new(stored, files)
+    }
+
     fn log(&self, index: usize) -> &replication::ReplicationState {
         let replication = &self.controls[index].state.replication;
         replication
@@ -464,10 +501,18 @@
         control.is_running = false;
     }
 
+    /// Cuts the power of a control. Of its unsynced write any of the sectors stay, drawn by `luck`.
+    pub(crate) fn cut_power(&mut self, index: usize, luck: u64) {
+        let control = &mut self.controls[index];
+        control.disk.cut_power(luck);
+        control.is_running = false;
+    }
+
+    /// Starts a control that is not running. It stays down if it refuses its data folder.
     pub(crate) fn restart(&mut self, index: usize) {
         let plan = self.plan;
         let control = &mut self.controls[index];
-        if !control.is_running {
+        if !control.is_running && control.disk.open() {
             control.state = engine_state(index, plan, control.disk.stored.clone());
             control.is_running = true;
             control.version = ids::CatalogueVersion::default();
@@ -477,7 +522,8 @@
     /// Restarts a control with an empty data folder.
     pub(crate) fn wipe(&mut self, index: usize, is_bootstrap: bool) {
         self.crash(index, 0);
-        self.controls[index].disk = disk::FakeDisk::new(self.empty_disk(is_bootstrap));
+        let stored = self.empty_disk(is_bootstrap);
+        self.controls[index].disk = self.disk_with(stored);
         self.restart(index);
     }
 
