Tell a write that was never synced from damage, whatever part of it arrived

Callers saw: an acknowledged configuration that nobody could read back. A control whose power failed during a write ended with HZ5002 at every start; with one other disk lost, one voter of three was left.

Cause: a record had one checksum. A log was cut only if the file ended inside its last record or held nothing but zeros from some sector of it on, so a hole in the middle, or a missing write whose first bytes share a sector with an earlier one, counted as damage. A loss of power leaves any of the sectors of a write that was not synced.

Records are now divided into fragments by sector. Each has its own checksums and names the offset up to which the file was synced; what is missing is damage only if some fragment names an offset behind it. Logs of format version 2 are read and replaced when they are opened.

--- a/crates/store/src/file.rs
+++ b/crates/store/src/file.rs
@@ -1,6 +1,6 @@
 //! Data folder with one log file, one snapshot file and one lock file.
 //!
-//! The log is only appended to. A snapshot and the shortened log after it are each written to a
+//! The log is only appended to, in fragments by sector ([`crate::sector`]). A snapshot and the shortened log after it are each written to a
 //! temporary file, synced and renamed, and the folder is synced; the snapshot comes first. A crash
 //! between the two leaves a log that starts before the snapshot; it is shortened when the folder is
 //! opened.
@@ -15,7 +15,7 @@
 use hazeltiller_wire::replication as wire;
 use snafu::ResultExt;
 
-use crate::{LogStore, error, record};
+use crate::{LogStore, error, record, sector};
 
 const LOCK_FILE: &str = "lock";
 const LOG_FILE: &str = "log";
@@ -29,6 +29,8 @@
 pub struct FileStore {
     folder: PathBuf,
     log: fs::File,
+    /// Length of the log.
+    log_bytes: usize,
     has_failed: bool,
     cut_bytes: u64,
     /// Holds the lock on the folder while it is open.
@@ -42,8 +44,10 @@
     entries: Vec<wire::LogEntry>,
     /// Offset of the end of the last complete record.
     valid_bytes: usize,
-    /// Number of bytes after it, which belong to a record that was never synced.
+    /// Number of bytes after it, which belong to a write that was never synced.
     torn_bytes: usize,
+    /// Whether the file is in an earlier format version.
+    is_outdated: bool,
 }
 
 impl FileStore {
@@ -71,7 +75,7 @@
         let content = read_log(&path, &bytes)?;
         if content.torn_bytes > 0 {
             log::warn!(
-                "{}: truncated {} bytes of an incomplete record that was never synced",
+                "{}: truncated {} bytes of a write that was never synced",
                 path.display(),
                 content.torn_bytes
             );
@@ -86,17 +90,17 @@
                 "the initial hard state is missing".into(),
             )
         })?;
-        if entries.len() < entry_count {
+        let is_replaced = content.is_outdated || entries.len() < entry_count;
+        if is_replaced {
             write_log(folder, hard, &entries)?;
         }
         let mut log = open_log(&path)?;
-        if entries.len() == entry_count {
+        if !is_replaced {
             log.set_len(content.valid_bytes as u64)
                 .context(disk_context("truncating", &path))?;
             log.sync_all().context(disk_context("syncing", &path))?;
         }
-        log.seek(std::io::SeekFrom::End(0))
-            .context(disk_context("seeking in", &path))?;
+        let log_bytes = seek_end(&mut log, &path)?;
         let recovered = replication::RecoveredLog {
             hard,
             snapshot,
@@ -105,6 +109,7 @@
         let store = Self {
             folder: folder.into(),
             log,
+            log_bytes,
             has_failed: false,
             cut_bytes: content.torn_bytes as u64,
             _lock: lock,
@@ -117,37 +122,40 @@
         self.cut_bytes
     }
 
-    /// Writes batches, joining adjacent ones into one write, and syncs each write before the next.
-    /// After a power loss the second of two unsynced writes may be on disk without the first, and a
-    /// record after such a gap would count as damage.
+    /// Writes batches, joining adjacent ones into one write, and syncs each write before the next,
+    /// as the fragments of the log require.
     fn write_all(&mut self, batches: Vec<replication::PersistBatch>) -> StoreResult<()> {
-        let mut bytes = Vec::new();
+        let mut write = sector::SectorWrite::at(self.log_bytes);
         for batch in batches {
             if batch.is_full_rewrite {
-                bytes.clear();
                 self.rewrite(&batch)?;
+                write = sector::SectorWrite::at(self.log_bytes);
                 continue;
             }
-            push_batch(&mut bytes, &batch);
+            push_batch(&mut write, &batch);
             if let Some(snapshot) = batch.snapshot {
                 // The shortened log that follows the snapshot is derived from this one and synced.
-                self.append(&std::mem::take(&mut bytes))?;
+                self.append(write)?;
                 self.install_snapshot(&snapshot)?;
+                write = sector::SectorWrite::at(self.log_bytes);
             }
         }
-        if bytes.is_empty() {
+        if write.is_empty() {
             return Ok(());
         }
-        self.append(&bytes)?;
+        self.append(write)?;
         let path = self.folder.join(LOG_FILE);
         self.log.sync_data().context(disk_context("syncing", &path))
     }
 
-    fn append(&mut self, bytes: &[u8]) -> StoreResult<()> {
+    fn append(&mut self, write: sector::SectorWrite) -> StoreResult<()> {
         let path = self.folder.join(LOG_FILE);
+        let bytes = write.into_bytes();
         self.log
-            .write_all(bytes)
-            .context(disk_context("writing", &path))
+            .write_all(&bytes)
+            .context(disk_context("writing", &path))?;
+        self.log_bytes += bytes.len();
+        Ok(())
     }
 
     /// Writes a snapshot, and the log without the entries that it covers.
@@ -179,9 +187,7 @@
         write_log(&self.folder, hard, entries)?;
         let path = self.folder.join(LOG_FILE);
         self.log = open_log(&path)?;
-        self.log
-            .seek(std::io::SeekFrom::End(0))
-            .context(disk_context("seeking in", &path))?;
+        self.log_bytes = seek_end(&mut self.log, &path)?;
         Ok(())
     }
 }
@@ -230,6 +236,13 @@
     options.open(path).context(disk_context("opening", path))
 }
 
+/// Moves to the end of a file and returns its length.
+fn seek_end(file: &mut fs::File, path: &Path) -> StoreResult<usize> {
+    let end = file.seek(std::io::SeekFrom::End(0));
+    let end = end.context(disk_context("seeking in", path))?;
+    Ok(end as usize)
+}
+
 pub(crate) fn read_file(path: &Path) -> StoreResult<Vec<u8>> {
     let mut bytes = Vec::new();
     let mut file = fs::File::open(path).context(disk_context("opening", path))?;
@@ -262,23 +275,25 @@
 }
 
 fn write_log(folder: &Path, hard: wire::HardState, entries: &[wire::LogEntry]) -> StoreResult<()> {
-    let mut bytes = record::file_header(record::LOG_MAGIC);
-    record::push_record(&mut bytes, &record::LogRecord::Hard(hard));
+    let mut records = vec![record::encode(&record::LogRecord::Hard(hard))];
     for entry in entries {
-        record::push_record(&mut bytes, &record::LogRecord::Entry(entry.clone()));
+        records.push(record::encode(&record::LogRecord::Entry(entry.clone())));
     }
+    let mut bytes = record::file_header(record::LOG_MAGIC);
+    let write = sector::SectorWrite::initial(bytes.len(), &records);
+    bytes.extend(write.into_bytes());
     replace_file(folder, LOG_FILE, &bytes)
 }
 
-fn push_batch(bytes: &mut Vec<u8>, batch: &replication::PersistBatch) {
+fn push_batch(write: &mut sector::SectorWrite, batch: &replication::PersistBatch) {
     if let Some(from) = batch.truncate {
-        record::push_record(bytes, &record::LogRecord::Truncate(from));
+        write.push(&record::encode(&record::LogRecord::Truncate(from)));
     }
     for entry in &batch.entries {
-        record::push_record(bytes, &record::LogRecord::Entry(entry.clone()));
+        write.push(&record::encode(&record::LogRecord::Entry(entry.clone())));
     }
     if let Some(hard) = batch.hard {
-        record::push_record(bytes, &record::LogRecord::Hard(hard));
+        write.push(&record::encode(&record::LogRecord::Hard(hard)));
     }
 }
 
@@ -304,8 +319,29 @@
 }
 
 fn read_log(path: &Path, bytes: &[u8]) -> StoreResult<LogContent> {
-    record::check_header(path, bytes, record::LOG_MAGIC)?;
+    let version = record::check_header(path, bytes, record::LOG_MAGIC)?;
+    if version == record::UNDIVIDED_VERSION {
+        return read_undivided_log(path, bytes);
+    }
+    let stored = sector::read_records(path, bytes, record::FILE_HEADER_BYTES)?;
     let mut content = LogContent::default();
+    for stored in stored.records {
+        let value = postcard::from_bytes(&stored.body);
+        let value =
+            value.map_err(|error| record::damaged(path, stored.offset, error.to_string()))?;
+        apply_record(path, &mut content, stored.offset, value)?;
+    }
+    content.valid_bytes = stored.valid_bytes;
+    content.torn_bytes = bytes.len() - stored.valid_bytes;
+    Ok(content)
+}
+
+/// Reads a log whose records are not divided by sectors.
+fn read_undivided_log(path: &Path, bytes: &[u8]) -> StoreResult<LogContent> {
+    let mut content = LogContent {
+        is_outdated: true,
+        ..LogContent::default()
+    };
     let mut offset = record::FILE_HEADER_BYTES;
     loop {
         match record::read_record(path, bytes, offset)? {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod file;
 pub mod notices;
 pub mod record;
+pub mod sector;
 
 use hazeltiller_engine::replication;
 
--- a/fuzz/fuzz_targets/records.rs
+++ b/fuzz/fuzz_targets/records.rs
@@ -4,7 +4,7 @@
 
 use std::path::Path;
 
-use hazeltiller_store::record;
+use hazeltiller_store::{record, sector};
 use libfuzzer_sys::fuzz_target;
 
 fuzz_target!(|bytes: &[u8]| {
@@ -16,5 +16,8 @@
         assert!(next > offset);
         offset = next;
     }
+    if let Ok(content) = sector::read_records(path, bytes, 0) {
+        assert!(content.valid_bytes <= bytes.len());
+    }
     drop(record::check_header(path, bytes, record::LOG_MAGIC));
 });
