A control with a damaged folder goes on as a new replica of a self-healing group

Callers saw nothing by this alone; the group lost its majority with the next voter, since the control ended with HZ5002 at every start and nobody is there to replace its folder. Same class as the torn write: a fault that only a person ends, where nobody comes.

It has no vote and answers for nothing that it lost; the leader takes the lost vote and gives it another one, as after a lost disk. Elsewhere the process still ends.

damaged_folder::damaged_control_refilled flips a bit in the log of one of three real processes, has it filled, and then loses another one. Before: 'control-1 exited before it was ready'.

--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -2,7 +2,7 @@
 
 use std::{
     net::SocketAddr,
-    path::PathBuf,
+    path::{Path, PathBuf},
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
@@ -256,17 +256,13 @@
             .data_folder
             .as_ref()
             .context(DataFolderMissingSnafu)?;
-        let initial_state = || wire_replication::HardState {
-            replica: ids::ReplicaId(rand::random_range(1..=u64::MAX)),
-            is_forming: options.bootstrap || settings.bootstrap,
-            ..wire_replication::HardState::default()
-        };
-        let opened = store_file::FileStore::open(folder, initial_state).context(StoreSnafu)?;
+        let tunables = &settings.tunables.replication;
+        let is_bootstrap = options.bootstrap || settings.bootstrap;
+        let opened = open_store(folder, is_bootstrap, tunables.voters > 0).context(StoreSnafu)?;
         let (file, recovered, existed) = opened;
         snafu::ensure!(!options.bootstrap || !existed, DataFolderNotEmptySnafu);
         is_new_store = !existed;
         cut_bytes = file.cut_bytes();
-        let tunables = &settings.tunables.replication;
         let state = replication::ReplicationState::recover(recovered, tunables);
         (Some(file), Some(state))
     } else {
@@ -404,6 +400,40 @@
     }))
 }
 
+/// Opens the data folder of a control. In a self-healing group a damaged one is replaced by that of a
+/// new replica, which has no vote: the group gives it one once it holds the whole log. Without
+/// somebody to replace the folder, a process that refuses it would be missing from its group for good.
+fn open_store(
+    folder: &Path,
+    is_bootstrap: bool,
+    is_self_healing: bool,
+) -> Result<(store_file::FileStore, replication::RecoveredLog, bool), store_error::StoreError> {
+    let initial_state = |is_forming| wire_replication::HardState {
+        replica: ids::ReplicaId(rand::random_range(1..=u64::MAX)),
+        is_forming,
+        ..wire_replication::HardState::default()
+    };
+    let opened = store_file::FileStore::open(folder, || initial_state(is_bootstrap));
+    match opened {
+        Err(store_error::StoreError::Damaged {
+            path,
+            offset,
+            message,
+        }) if is_self_healing => {
+            log::error!(
+                "{}: {} is damaged at byte {offset}: {message}; log and snapshot are renamed, and \
+                 this instance goes on as a new replica without a vote",
+                code::ResultCode::StoreDamaged,
+                path.display()
+            );
+            let (file, recovered) =
+                store_file::FileStore::replace_damaged(folder, initial_state(false))?;
+            Ok((file, recovered, true))
+        }
+        opened => opened,
+    }
+}
+
 async fn bind(address: SocketAddr) -> Result<TcpListener, StartError> {
     TcpListener::bind(address)
         .await
--- a/crates/store/src/file.rs
+++ b/crates/store/src/file.rs
@@ -21,6 +21,7 @@
 const LOG_FILE: &str = "log";
 const SNAPSHOT_FILE: &str = "snapshot";
 const TEMPORARY_EXTENSION: &str = "new";
+const DAMAGED_EXTENSION: &str = "damaged";
 
 type StoreResult<T> = Result<T, error::StoreError>;
 
@@ -57,11 +58,27 @@
         folder: &Path,
         initial_state: impl FnOnce() -> wire::HardState,
     ) -> StoreResult<(Self, replication::RecoveredLog, bool)> {
-        fs::create_dir_all(folder).context(error::DiskSnafu {
-            action: "creating",
-            path: folder,
-        })?;
         let lock = lock_folder(folder)?;
+        Self::open_locked(folder, lock, initial_state)
+    }
+
+    /// Opens a folder whose log or snapshot is damaged. Renames both, so that they can be examined,
+    /// and initializes the folder with a state that must belong to a new replica.
+    pub fn replace_damaged(
+        folder: &Path,
+        initial_state: wire::HardState,
+    ) -> StoreResult<(Self, replication::RecoveredLog)> {
+        let lock = lock_folder(folder)?;
+        set_aside(folder)?;
+        let (store, recovered, _) = Self::open_locked(folder, lock, || initial_state)?;
+        Ok((store, recovered))
+    }
+
+    fn open_locked(
+        folder: &Path,
+        lock: fs::File,
+        initial_state: impl FnOnce() -> wire::HardState,
+    ) -> StoreResult<(Self, replication::RecoveredLog, bool)> {
         let snapshot = read_snapshot(&folder.join(SNAPSHOT_FILE))?;
         let path = folder.join(LOG_FILE);
         let is_new = !path.exists();
@@ -212,7 +229,29 @@
     error::DiskSnafu { action, path }
 }
 
+/// Renames the log and the snapshot. A crash between the two leaves one of them, which counts as
+/// damage again.
+fn set_aside(folder: &Path) -> StoreResult<()> {
+    for name in [LOG_FILE, SNAPSHOT_FILE] {
+        let path = folder.join(name);
+        if path.exists() {
+            fs::rename(&path, path.with_extension(DAMAGED_EXTENSION))
+                .context(disk_context("renaming", &path))?;
+        }
+    }
+    sync_folder(folder)
+}
+
+fn sync_folder(folder: &Path) -> StoreResult<()> {
+    let folder_file = fs::File::open(folder).context(disk_context("opening", folder))?;
+    folder_file
+        .sync_all()
+        .context(disk_context("syncing", folder))
+}
+
+/// Creates the folder if it does not exist, and locks it.
 fn lock_folder(folder: &Path) -> StoreResult<fs::File> {
+    fs::create_dir_all(folder).context(disk_context("creating", folder))?;
     let path = folder.join(LOCK_FILE);
     let mut options = fs::OpenOptions::new();
     let options = options.read(true).write(true).create(true).truncate(false);
@@ -262,10 +301,7 @@
     file.sync_all()
         .context(disk_context("syncing", &temporary_path))?;
     fs::rename(&temporary_path, &path).context(disk_context("renaming to", &path))?;
-    let folder_file = fs::File::open(folder).context(disk_context("opening", folder))?;
-    folder_file
-        .sync_all()
-        .context(disk_context("syncing", folder))
+    sync_folder(folder)
 }
 
 fn write_snapshot(folder: &Path, snapshot: &wire::LogSnapshot) -> StoreResult<()> {
--- a/tests/all/control_group.rs
+++ b/tests/all/control_group.rs
@@ -56,3 +56,15 @@
     let has_line = |name: &&str| fleet.log(name).contains(text);
     wait::until(text, || async { CONTROLS.into_iter().find(has_line) }).await
 }
+
+/// Waits until a control counts itself among the voters.
+pub(crate) async fn wait_for_voter(fleet: &fleet::Fleet, name: &str) {
+    wait::until("a vote", || async {
+        let status = fleet.read(name, "/v1/control").await?;
+        let replica = status["replica"].clone();
+        let members = status["members"].as_array()?;
+        let own = members.iter().find(|member| member["replica"] == replica)?;
+        (own["is_voter"] == true).then_some(())
+    })
+    .await;
+}
--- a/tests/all/control_group/reports.rs
+++ b/tests/all/control_group/reports.rs
@@ -8,10 +8,9 @@
 
 /// Returns the fields of the latest log line of a kind.
 fn last_line(log: &str, kind: &str) -> Option<Value> {
-    let lines = log
-        .lines()
-        .filter_map(|line| serde_json::from_str(line).ok());
-    lines.filter(|line: &Value| line["kind"] == kind).last()
+    let lines = log.lines().rev();
+    let mut documents = lines.filter_map(|line| serde_json::from_str::<Value>(line).ok());
+    documents.find(|line| line["kind"] == kind)
 }
 
 /// Two of three voters are lost. The log of the third names them, and tells why a read is refused.
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod command_line;
 mod control_group;
 mod crashing;
+mod damaged_folder;
 mod declines;
 mod decoders;
 mod demo;
