Tell claims that were never synced from damage

Callers of keyed requests would have got refusals: a control whose power failed while it wrote several claims found its file damaged, counted all claims as lost and granted none for as long as claims are kept. Controls write claims with every such request, so a loss of power at all of them strikes a write on most.

Cause: that of the log, in the second file that is appended to. A group of records with a gap in its middle was taken for damage.

The file of claims is divided by sectors like the log. A file of the earlier format is read and replaced.

Seen in the test only.

--- a/crates/store/src/claims.rs
+++ b/crates/store/src/claims.rs
@@ -1,8 +1,8 @@
 //! File of claims on keyed requests.
 //!
-//! Records are appended and synced in groups; each has a length and a checksum. A record that is
-//! incomplete at the end of the file was never reported as durable. The file is rewritten when most
-//! of its records concern claims that no longer exist.
+//! Records are appended and synced in groups, divided by sectors ([`crate::sector`]), so that a group
+//! which was never synced, and hence never reported as durable, is told from damage. The file is
+//! rewritten when most of its records concern claims that no longer exist.
 //!
 //! A missing file is distinguished from one without claims, since its folder may have held claims
 //! that are lost. If the whole folder is new as well, that is recorded as a third case.
@@ -17,14 +17,16 @@
 use indexmap::IndexMap;
 use snafu::ResultExt;
 
-use crate::error;
+use crate::{error, record, sector};
 
 const CLAIMS_FILE: &str = "claims";
 const TEMPORARY_FILE: &str = "claims.new";
 const DAMAGED_FILE: &str = "claims.damaged";
 /// First bytes of the file: its type and format version.
-const FILE_MAGIC: &[u8; 8] = b"hzclaim1";
-/// Size of a record header: the length of the record and its checksum, four bytes each.
+const FILE_MAGIC: &[u8; 8] = b"hzclaim2";
+/// First bytes of a file whose records are not divided by sectors.
+const UNDIVIDED_MAGIC: &[u8; 8] = b"hzclaim1";
+/// Size of a record header in such a file: the length of the record and its checksum, four bytes each.
 const RECORD_HEADER_BYTES: usize = 8;
 
 /// Contents of the file when it was opened.
@@ -50,6 +52,8 @@
 pub struct ClaimFile {
     folder: PathBuf,
     file: fs::File,
+    /// Length of the file.
+    bytes: usize,
 }
 
 impl ClaimFile {
@@ -79,11 +83,17 @@
             };
             return Self::create(folder, completeness);
         }
+        if bytes.starts_with(UNDIVIDED_MAGIC)
+            && let Ok(recovered) = read_undivided_claims(&path, &bytes)
+        {
+            let file = Self::replace(folder, &stored_records(&recovered))?;
+            return Ok((file, recovered));
+        }
         match read_claims(&path, &bytes) {
             Ok((recovered, valid_bytes)) => {
                 if valid_bytes < bytes.len() {
                     log::warn!(
-                        "truncated {} bytes of an incomplete claim record that was never synced",
+                        "truncated {} bytes of claims that were never synced",
                         bytes.len() - valid_bytes
                     );
                 }
@@ -93,8 +103,12 @@
                     .context(disk_context("truncating"))?;
                 file.sync_all().context(disk_context("syncing"))?;
                 sync_folder(folder)?;
-                let folder = folder.into();
-                Ok((Self { folder, file }, recovered))
+                let file = Self {
+                    folder: folder.into(),
+                    file,
+                    bytes: valid_bytes,
+                };
+                Ok((file, recovered))
             }
             Err(error) => {
                 log::error!("{}: {error}; the file is moved aside", error.code());
@@ -109,16 +123,7 @@
         folder: &Path,
         completeness: ledger::ClaimsCompleteness,
     ) -> Result<(Self, RecoveredClaims), error::StoreError> {
-        let path = folder.join(CLAIMS_FILE);
-        let file = fs::File::create(&path).context(error::DiskSnafu {
-            action: "creating",
-            path,
-        })?;
-        let mut store = Self {
-            folder: folder.into(),
-            file,
-        };
-        store.rewrite(&[ledger::ClaimRecord::Standing(completeness)])?;
+        let store = Self::replace(folder, &[ledger::ClaimRecord::Standing(completeness)])?;
         let claims = IndexMap::new();
         Ok((
             store,
@@ -128,6 +133,29 @@
             },
         ))
     }
+
+    /// Replaces the file in a folder, or creates it.
+    fn replace(folder: &Path, records: &[ledger::ClaimRecord]) -> Result<Self, error::StoreError> {
+        let path = folder.join(TEMPORARY_FILE);
+        let disk_context = |action| error::DiskSnafu {
+            action,
+            path: path.clone(),
+        };
+        let mut bytes = FILE_MAGIC.to_vec();
+        let records: Vec<Vec<u8>> = records.iter().map(record::encode).collect();
+        let write = sector::SectorWrite::initial(bytes.len(), &records);
+        bytes.extend(write.into_bytes());
+        let mut file = fs::File::create(&path).context(disk_context("creating"))?;
+        file.write_all(&bytes).context(disk_context("writing"))?;
+        file.sync_all().context(disk_context("syncing"))?;
+        fs::rename(&path, folder.join(CLAIMS_FILE)).context(disk_context("renaming"))?;
+        sync_folder(folder)?;
+        Ok(Self {
+            folder: folder.into(),
+            file,
+            bytes: bytes.len(),
+        })
+    }
 }
 
 impl ClaimStore for ClaimFile {
@@ -137,27 +165,21 @@
             action,
             path: path.clone(),
         };
+        let mut write = sector::SectorWrite::at(self.bytes);
+        for record in records {
+            write.push(&record::encode(record));
+        }
+        let bytes = write.into_bytes();
         self.file
-            .write_all(&encode(records))
+            .write_all(&bytes)
             .context(disk_context("writing"))?;
-        self.file.sync_data().context(disk_context("syncing"))
+        self.file.sync_data().context(disk_context("syncing"))?;
+        self.bytes += bytes.len();
+        Ok(())
     }
 
     fn rewrite(&mut self, records: &[ledger::ClaimRecord]) -> Result<(), error::StoreError> {
-        let path = self.folder.join(TEMPORARY_FILE);
-        let disk_context = |action| error::DiskSnafu {
-            action,
-            path: path.clone(),
-        };
-        let mut file = fs::File::create(&path).context(disk_context("creating"))?;
-        file.write_all(FILE_MAGIC)
-            .context(disk_context("writing"))?;
-        file.write_all(&encode(records))
-            .context(disk_context("writing"))?;
-        file.sync_all().context(disk_context("syncing"))?;
-        fs::rename(&path, self.folder.join(CLAIMS_FILE)).context(disk_context("renaming"))?;
-        sync_folder(&self.folder)?;
-        self.file = file;
+        *self = Self::replace(&self.folder, records)?;
         Ok(())
     }
 }
@@ -170,30 +192,49 @@
     })
 }
 
-fn encode(records: &[ledger::ClaimRecord]) -> Vec<u8> {
-    let mut bytes = Vec::new();
-    for record in records {
-        let record = postcard::to_stdvec(record).expect("claim records hold no maps");
-        bytes.extend_from_slice(&(record.len() as u32).to_le_bytes());
-        bytes.extend_from_slice(&crc32fast::hash(&record).to_le_bytes());
-        bytes.extend_from_slice(&record);
+/// Returns the records of a file that holds just these claims.
+fn stored_records(recovered: &RecoveredClaims) -> Vec<ledger::ClaimRecord> {
+    let mut records = vec![ledger::ClaimRecord::Standing(recovered.completeness)];
+    for (request, stored) in &recovered.claims {
+        let (request, claim) = (*request, stored.claim);
+        records.push(ledger::ClaimRecord::Kept(request, claim));
+        if stored.is_done {
+            records.push(ledger::ClaimRecord::Done(request, claim));
+        }
     }
-    bytes
+    records
 }
 
-/// Applies the records of a file. Returns the claims, and the offset of the end of the last
-/// complete record.
+/// Applies the records of a file. Returns the claims, and the offset of the end of the last complete
+/// record.
 fn read_claims(path: &Path, bytes: &[u8]) -> Result<(RecoveredClaims, usize), error::StoreError> {
+    if !bytes.starts_with(FILE_MAGIC) {
+        return Err(record::damaged(
+            path,
+            0,
+            "the file header does not match".into(),
+        ));
+    }
+    let content = sector::read_records(path, bytes, FILE_MAGIC.len())?;
+    let mut recovered = RecoveredClaims::default();
+    for stored in content.records {
+        let record = postcard::from_bytes(&stored.body);
+        let record =
+            record.map_err(|error| record::damaged(path, stored.offset, error.to_string()))?;
+        apply(&mut recovered, record);
+    }
+    Ok((recovered, content.valid_bytes))
+}
+
+/// Applies the records of a file whose records are not divided by sectors. Returns the claims.
+fn read_undivided_claims(path: &Path, bytes: &[u8]) -> Result<RecoveredClaims, error::StoreError> {
     let damaged = |offset: usize, message: &str| error::StoreError::Damaged {
         path: path.into(),
         offset: offset as u64,
         message: message.into(),
     };
-    if !bytes.starts_with(FILE_MAGIC) {
-        return Err(damaged(0, "the file header does not match"));
-    }
     let mut recovered = RecoveredClaims::default();
-    let mut offset = FILE_MAGIC.len();
+    let mut offset = UNDIVIDED_MAGIC.len();
     while let Some(header) = bytes.get(offset..offset + RECORD_HEADER_BYTES) {
         let read_u32 = |at: usize| {
             let bytes = header[at..at + 4].try_into();
@@ -222,7 +263,7 @@
         apply(&mut recovered, record);
         offset = start + length;
     }
-    Ok((recovered, offset))
+    Ok(recovered)
 }
 
 /// Returns whether an intact record starts at any offset after this one.
--- a/crates/store/tests/claims.rs
+++ b/crates/store/tests/claims.rs
@@ -129,3 +129,29 @@
     let folder = tempfile::tempdir().expect("a temporary folder is created");
     assert_eq!(reopen(folder.path()), (vec![], false));
 }
+
+/// A file without fragments, as earlier versions wrote it, is read and replaced.
+#[test]
+fn undivided_claims_converted() {
+    let folder = tempfile::tempdir().expect("a temporary folder is created");
+    let path = folder.path().join("claims");
+    let mut bytes = b"hzclaim1".to_vec();
+    let done = ClaimRecord::Done(RequestDigest([2; 16]), claim(2));
+    let whole = ClaimRecord::Standing(ClaimsCompleteness::Whole);
+    for record in [whole, stored_record(1), stored_record(2), done] {
+        let body = postcard::to_stdvec(&record).expect("claim records hold no maps");
+        bytes.extend_from_slice(&(body.len() as u32).to_le_bytes());
+        bytes.extend_from_slice(&crc32fast::hash(&body).to_le_bytes());
+        bytes.extend_from_slice(&body);
+    }
+    std::fs::write(&path, &bytes[..]).expect("the folder is writable");
+    for _ in 0..2 {
+        let opened = claims::ClaimFile::open(folder.path(), false);
+        let (_file, recovered) = opened.expect("the file opens");
+        assert_eq!(recovered.completeness, ClaimsCompleteness::Whole);
+        assert!(!recovered.claims[&RequestDigest([1; 16])].is_done);
+        assert!(recovered.claims[&RequestDigest([2; 16])].is_done);
+    }
+    let converted = std::fs::read(&path).expect("the file exists");
+    assert!(converted.starts_with(b"hzclaim2"));
+}
--- a/crates/store/tests/torn_writes.rs
+++ b/crates/store/tests/torn_writes.rs
@@ -4,9 +4,13 @@
 
 use hazeltiller_catalogue::change;
 use hazeltiller_engine::replication;
-use hazeltiller_store::{LogStore, file};
+use hazeltiller_store::{
+    LogStore,
+    claims::{ClaimFile, ClaimStore},
+    file,
+};
 use hazeltiller_units::{code, ids};
-use hazeltiller_wire::replication as wire;
+use hazeltiller_wire::{ledger, replication as wire};
 
 const SECTOR_BYTES: usize = 512;
 /// Length of an operator's name, of which long entries hold many.
@@ -56,15 +60,17 @@
     store.write(vec![batch]).expect("the write succeeds");
 }
 
-/// A folder with a synced write of entry 1, and the log before and after an unsynced write.
+/// A folder with a file, before and after a write to it that was not synced.
 struct UnsyncedWrite {
     folder: tempfile::TempDir,
+    file: &'static str,
     before: Vec<u8>,
     after: Vec<u8>,
 }
 
 impl UnsyncedWrite {
-    fn new(entries: Vec<wire::LogEntry>) -> Self {
+    /// A log with a synced write of entry 1, and an unsynced one of these entries.
+    fn of_entries(entries: Vec<wire::LogEntry>) -> Self {
         let folder = tempfile::tempdir().expect("a temporary folder is created");
         let path = folder.path().join("log");
         let (mut store, _) = open(folder.path()).expect("the folder opens");
@@ -75,6 +81,27 @@
         assert!(after.starts_with(&before), "the log is only appended to");
         Self {
             folder,
+            file: "log",
+            before,
+            after,
+        }
+    }
+
+    /// A file of claims with a synced claim 0, and an unsynced write of further ones.
+    fn of_claims(count: u64) -> Self {
+        let folder = tempfile::tempdir().expect("a temporary folder is created");
+        let path = folder.path().join("claims");
+        let (mut file, _) = ClaimFile::open(folder.path(), true).expect("the folder is empty");
+        let standing = ledger::ClaimRecord::Standing(ledger::ClaimsCompleteness::Whole);
+        let first = [standing, claim_record(0)];
+        file.append(&first).expect("the write succeeds");
+        let before = fs::read(&path).expect("the file exists");
+        let records: Vec<_> = (1..=count).map(claim_record).collect();
+        file.append(&records).expect("the write succeeds");
+        let after = fs::read(&path).expect("the file exists");
+        Self {
+            folder,
+            file: "claims",
             before,
             after,
         }
@@ -96,7 +123,47 @@
             let end = ((first + sector + 1) * SECTOR_BYTES).min(self.after.len());
             bytes[start..end].copy_from_slice(&self.after[start..end]);
         }
-        fs::write(self.folder.path().join("log"), bytes).expect("the folder is writable");
+        fs::write(self.folder.path().join(self.file), bytes).expect("the folder is writable");
+    }
+}
+
+fn claim_record(number: u64) -> ledger::ClaimRecord {
+    let claim = ledger::ClaimId {
+        incarnation: ids::IncarnationNumber(1),
+        number,
+        node: "127.0.0.1:7000".parse().expect("valid address"),
+    };
+    ledger::ClaimRecord::Kept(ledger::RequestDigest([number as u8; 16]), claim)
+}
+
+/// Guards against a control that counts its claims as lost after a write that a power loss left in
+/// part, and grants none for as long as claims are kept.
+#[test]
+fn torn_claims_lost() {
+    let count = 60;
+    let torn = UnsyncedWrite::of_claims(count);
+    let sectors = torn.sectors();
+    assert!(sectors > 3, "the write touches several sectors");
+    for mask in 0..1 << sectors {
+        torn.tear(mask);
+        let opened = ClaimFile::open(torn.folder.path(), false);
+        let (mut file, recovered) = opened.expect("the file opens");
+        let is_whole = recovered.completeness == ledger::ClaimsCompleteness::Whole;
+        assert!(is_whole, "sectors {mask:b} of {sectors}");
+        let numbers: Vec<u64> = recovered
+            .claims
+            .values()
+            .map(|stored| stored.claim.number)
+            .collect();
+        let kept: Vec<u64> = (0..=count).take(numbers.len()).collect();
+        assert!(!numbers.is_empty(), "the synced claim is kept");
+        assert_eq!(numbers, kept, "sectors {mask:b} of {sectors}");
+        file.append(&[claim_record(200)])
+            .expect("the write succeeds");
+        drop(file);
+        let opened = ClaimFile::open(torn.folder.path(), false);
+        let (_, recovered) = opened.expect("the file opens");
+        assert_eq!(recovered.claims.len(), numbers.len() + 1);
     }
 }
 
@@ -111,7 +178,7 @@
     ];
     for entries in contents {
         let count = entries.len() as u64;
-        let torn = UnsyncedWrite::new(entries);
+        let torn = UnsyncedWrite::of_entries(entries);
         let sectors = torn.sectors();
         assert!(sectors > 3, "the write touches several sectors");
         for mask in 0..1 << sectors {
@@ -136,7 +203,7 @@
 /// A sector that is missing before a later write was synced is damage, wherever it lies.
 #[test]
 fn synced_sector_lost() {
-    let torn = UnsyncedWrite::new(vec![entry(2, 2800)]);
+    let torn = UnsyncedWrite::of_entries(vec![entry(2, 2800)]);
     torn.tear((1 << torn.sectors()) - 1);
     let path = torn.folder.path().join("log");
     let (mut store, _) = open(torn.folder.path()).expect("the folder opens");
