Refuse a response that declares a length beside its chunks (MIXED)

Callers saw: a 200 with half of the body, which looked whole, and the other half in the place of their next response.

Cause: the HTTP library reads the chunks, but leaves the Content-Length of such a head in place. The writer of responses took that line for the length of a body whose length it did not know, and wrote whatever the body had.

The owner node refuses a response with both (HZ3020, outcome unknown): by RFC 9112, 6.3, it may be an attempt at response splitting. The writer counts what it writes and closes the connection where body and declared length differ, whoever declared it.

--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -123,6 +123,12 @@
     }
 }
 
+/// Returns whether a response head declares a length beside a transfer coding (RFC 9112, 6.3). Whoever
+/// reads the body by the other of the two finds its end elsewhere.
+pub fn has_two_framings(headers: &hyper::HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH) && headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Removes hop-by-hop headers, which apply to one connection only. `TE: trailers` is retained.
 pub fn strip_hop_by_hop_headers(headers: &mut hyper::HeaderMap) {
     let accepts_trailers =
--- a/crates/daemon/src/http1/response_writer.rs
+++ b/crates/daemon/src/http1/response_writer.rs
@@ -34,7 +34,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ResponseFraming {
     None,
-    Length,
+    /// By its length, in bytes.
+    Length(u64),
     Chunked,
     Close,
 }
@@ -139,9 +140,13 @@
         if closes_connection {
             self.progress.is_closing.store(true, Ordering::Relaxed);
         }
-        set_framing_headers(&mut parts.headers, &body, framing, closes_connection);
+        set_framing_headers(&mut parts.headers, framing, closes_connection);
         self.put_response_head(&parts);
         let mut wrote_last_chunk = false;
+        let mut length_left = match framing {
+            ResponseFraming::Length(length) => Some(length),
+            _ => None,
+        };
         if framing != ResponseFraming::None {
             while let Some(frame) = body.frame().await {
                 let Ok(frame) = frame else {
@@ -150,6 +155,14 @@
                     self.flush().await;
                     return ConnectionState::Closed;
                 };
+                if let (Some(left), Some(data)) = (&mut length_left, frame.data_ref()) {
+                    let Some(rest) = left.checked_sub(data.len() as u64) else {
+                        // What exceeds the length would be read as the next response.
+                        self.flush().await;
+                        return ConnectionState::Closed;
+                    };
+                    *left = rest;
+                }
                 wrote_last_chunk |= self.put_frame(frame, framing, options);
                 let is_ended = body.is_end_stream();
                 if !is_ended && self.flush().await == ConnectionState::Closed {
@@ -161,7 +174,8 @@
             self.buffer.put_slice(b"0\r\n\r\n");
         }
         let state = self.flush().await;
-        if closes_connection {
+        let is_short = length_left.is_some_and(|left| left > 0);
+        if closes_connection || is_short {
             ConnectionState::Closed
         } else {
             state
@@ -254,8 +268,8 @@
         || parts.status.is_informational();
     if options.is_head || is_bodiless {
         ResponseFraming::None
-    } else if body.size_hint().exact().is_some() || parts.headers.contains_key("content-length") {
-        ResponseFraming::Length
+    } else if let Some(length) = declared_length(parts, body) {
+        ResponseFraming::Length(length)
     } else if options.is_http10 {
         ResponseFraming::Close
     } else {
@@ -263,18 +277,24 @@
     }
 }
 
+/// Returns the length of a body, if it is known or declared in the head.
+fn declared_length(parts: &hyper::http::response::Parts, body: &http::StreamBody) -> Option<u64> {
+    let declared = || {
+        let value = parts.headers.get(header::CONTENT_LENGTH)?;
+        value.to_str().ok()?.parse().ok()
+    };
+    body.size_hint().exact().or_else(declared)
+}
+
 fn set_framing_headers(
     headers: &mut hyper::HeaderMap,
-    body: &http::StreamBody,
     framing: ResponseFraming,
     closes_connection: bool,
 ) {
     headers.remove(header::TRANSFER_ENCODING);
     match framing {
-        ResponseFraming::Length => {
-            if let Some(length) = body.size_hint().exact() {
-                headers.insert(header::CONTENT_LENGTH, length.into());
-            }
+        ResponseFraming::Length(length) => {
+            headers.insert(header::CONTENT_LENGTH, length.into());
         }
         ResponseFraming::Chunked => {
             headers.remove(header::CONTENT_LENGTH);
--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -328,10 +328,12 @@
     ) -> Response<http::StreamBody> {
         let (parts, body) = response.into_parts();
         let context = Arc::clone(&self.guard.context);
-        let verdict = context
-            .dialects
-            .calls
-            .check_response(&parts, &self.metadata);
+        let verdict = if http::has_two_framings(&parts.headers) {
+            dialect::ResponseVerdict::Invalid
+        } else {
+            let calls = &context.dialects.calls;
+            calls.check_response(&parts, &self.metadata)
+        };
         self.observe_signals(&parts, verdict).await;
         match verdict {
             dialect::ResponseVerdict::Valid => {}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -15,6 +15,7 @@
 mod examples;
 mod failing_disk;
 mod fleet;
+mod framing;
 mod hygiene;
 mod limits;
 mod links;
--- a/tests/all/pipelining.rs
+++ b/tests/all/pipelining.rs
@@ -52,21 +52,32 @@
     }
 }
 
-struct FixedResponse(FrameList);
+/// A response with this body and, in its head, this length.
+struct FixedResponse(FrameList, Option<u64>);
 
 impl http1::CallHandler for FixedResponse {
     async fn serve(&self, _request: http1::CallRequest) -> http1::CallResponse {
-        Response::new(self.0.clone().boxed_unsync())
+        let mut response = Response::new(self.0.clone().boxed_unsync());
+        if let Some(length) = self.1 {
+            let headers = response.headers_mut();
+            headers.insert("content-length", length.into());
+        }
+        response
     }
 }
 
 /// Returns the bytes after the response head that a caller which accepts trailers receives.
 async fn response_body(frames: &[Result<&'static str, HeaderMap>]) -> String {
+    declared_body(frames, None).await
+}
+
+/// The same for a response whose head declares a length.
+async fn declared_body(frames: &[Result<&'static str, HeaderMap>], length: Option<u64>) -> String {
     let frames = frames.iter().map(|frame| match frame {
         Ok(text) => Ok(Bytes::from_static(text.as_bytes())),
         Err(trailers) => Err(trailers.clone()),
     });
-    let service = Arc::new(FixedResponse(FrameList(frames.collect())));
+    let service = Arc::new(FixedResponse(FrameList(frames.collect()), length));
     let (mut caller, node) = tokio::io::duplex(65_536);
     let (reader, writer) = tokio::io::split(node);
     let request = "GET / HTTP/1.1\r\nhost: a\r\nte: trailers\r\nconnection: close\r\n\r\n";
@@ -113,6 +124,22 @@
     }
 }
 
+/// No byte is written beyond the length that the head declares.
+#[tokio::test]
+async fn length_exceeded() {
+    let frames = [Ok("four"), Ok("more")];
+    for (length, expected) in [
+        (3, ""),
+        (4, "four"),
+        (6, "four"),
+        (8, "fourmore"),
+        (9, "fourmore"),
+    ] {
+        let received = declared_body(&frames, Some(length)).await;
+        assert_eq!(received, expected, "length {length}");
+    }
+}
+
 /// A caller that sends another request while it receives the last response of its connection still
 /// receives that response completely.
 #[tokio::test]
@@ -129,7 +156,7 @@
     let address = listener.local_addr().expect("the listener is bound");
     let body = vec![b'a'; BODY_BYTES];
     let frames = [Ok(Bytes::from(body.clone()))];
-    let service = Arc::new(FixedResponse(FrameList(frames.into())));
+    let service = Arc::new(FixedResponse(FrameList(frames.into()), None));
     let serving = tokio::spawn(async move {
         let (stream, _from) = listener.accept().await.expect("the caller connects");
         let (reader, writer) = stream.into_split();
