--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -36,8 +36,10 @@
 mod placement;
 mod stored_response;
 
-use crate::{dialect, drain, http, http1, listener, process, replay, trace};
+use crate::{dialect, drain, http, http1, listener, process, replay, response_buffer, trace};
 
+/// Time for which a response is held at most, so that a slow stream still arrives while it is produced.
+const MAX_HOLD_TIME: Duration = Duration::from_millis(500);
 /// Start of the HTTP/2 connection preface. No valid HTTP/1.1 request starts with these bytes.
 const HTTP2_PREFACE: &[u8] = b"PRI * HTTP/2.0";
 
@@ -105,7 +107,7 @@
         let context = Arc::clone(&shared);
         async move {
             let request = request.map(http::stream_body);
-            Ok::<_, Infallible>(serve_over_link(context, uses_link, request).await)
+            Ok::<_, Infallible>(serve_over_link(context, uses_link, request, None).await)
         }
     });
     let mut server = http2::Builder::new(rt::TokioExecutor::new());
@@ -151,8 +153,13 @@
 }
 
 impl http1::CallHandler for CallerHandler {
-    async fn serve(&self, request: http1::CallRequest) -> http1::CallResponse {
-        serve_over_link(Arc::clone(&self.context), self.uses_link, request).await
+    async fn serve(
+        &self,
+        request: http1::CallRequest,
+        turn: Arc<http1::RequestTurn>,
+    ) -> http1::CallResponse {
+        let context = Arc::clone(&self.context);
+        serve_over_link(context, self.uses_link, request, Some(turn)).await
     }
 }
 
@@ -168,9 +175,10 @@
     context: Arc<process::ProcessContext>,
     uses_link: bool,
     request: http1::CallRequest,
+    turn: Option<Arc<http1::RequestTurn>>,
 ) -> http1::CallResponse {
     let link = context.link.clone();
-    let response = serve_request(context, request).await;
+    let response = serve_request(context, request, turn.as_deref()).await;
     if uses_link {
         link.send(response, None)
     } else {
@@ -181,6 +189,7 @@
 async fn serve_request(
     context: Arc<process::ProcessContext>,
     request: http1::CallRequest,
+    turn: Option<&http1::RequestTurn>,
 ) -> http1::CallResponse {
     let dialect = Arc::clone(&context.dialects.calls);
     let head = dialect.read_head(request.headers());
@@ -191,6 +200,10 @@
         Ok(call) => call.serve(&AtomicBool::new(false)).await,
         Err(refusal) => Err(refusal),
     };
+    let served = match (served, turn) {
+        (Ok(response), Some(turn)) => hold_response(&context, response, turn).await,
+        (served, _) => served,
+    };
     match served {
         Ok(mut response) => {
             http::strip_hop_by_hop_headers(response.headers_mut());
@@ -201,6 +214,35 @@
     }
 }
 
+/// Holds a small response of unknown length while requests are behind it on its connection, since one
+/// that breaks off after its head was written ends the connection.
+async fn hold_response(
+    context: &process::ProcessContext,
+    response: Response<http::StreamBody>,
+    turn: &http1::RequestTurn,
+) -> CallResult {
+    let is_open = response.body().size_hint().exact().is_none();
+    if !is_open || !turn.begin_stream() {
+        return Ok(response);
+    }
+    let (parts, body) = response.into_parts();
+    let max_bytes = context.request_tunables.answer_hold_bytes as usize;
+    match response_buffer::hold(body, max_bytes, MAX_HOLD_TIME).await {
+        Ok(held) => {
+            if held.is_complete {
+                turn.end_stream();
+            }
+            Ok(Response::from_parts(parts, held.body))
+        }
+        Err(error) => {
+            log::debug!("a response was held and not passed on: {error}");
+            turn.end_stream();
+            let failed = code::ResultCode::TargetFailed;
+            Err(wire::CallRefusal::unknown(failed))
+        }
+    }
+}
+
 /// Tells the engine on drop that the ingress node has finished a call, whatever the outcome.
 struct IngressGuard {
     context: Arc<process::ProcessContext>,
--- a/crates/daemon/src/http1.rs
+++ b/crates/daemon/src/http1.rs
@@ -4,7 +4,7 @@
 //! it, and does not notice that the caller has disconnected while another request is buffered. This
 //! server dispatches each request as soon as its head is read and writes the responses in order. It
 //! keeps reading the connection meanwhile, and cancels all requests in flight when the caller
-//! disconnects.
+//! disconnects. Behind a response whose end is unknown no request is dispatched until it has ended.
 //!
 //! Heads are parsed with httparse, as in hyper. A request whose body framing is invalid is
 //! rejected, and the connection is closed.
@@ -12,6 +12,7 @@
 mod body;
 mod head;
 mod response_writer;
+mod turn;
 
 use std::{
     future,
@@ -34,6 +35,7 @@
 use crate::{drain, http};
 
 pub use body::RequestBody;
+pub use turn::RequestTurn;
 
 /// Maximum number of responses queued per connection. Further requests are not parsed until the
 /// queue has room, and are still answered in order.
@@ -71,7 +73,11 @@
 /// Handles the requests of a connection.
 pub trait CallHandler: Send + Sync + 'static {
     /// Handles one request. The future is dropped if the caller disconnects.
-    fn serve(&self, request: CallRequest) -> impl Future<Output = CallResponse> + Send;
+    fn serve(
+        &self,
+        request: CallRequest,
+        turn: Arc<RequestTurn>,
+    ) -> impl Future<Output = CallResponse> + Send;
 }
 
 /// The task that handles a request. It is aborted on drop, that is when its connection ends.
@@ -90,6 +96,8 @@
     /// The response to a request, once its task has returned it.
     Served {
         request: RequestTask,
+        /// Dropped once the response is written.
+        turn: Arc<RequestTurn>,
         options: response_writer::ResponseOptions,
     },
     /// A response with this status, after which the connection closes: no further request can be
@@ -120,6 +128,7 @@
         drain: drain.clone(),
         responses,
         progress: &progress,
+        pipeline: Arc::default(),
     };
     let writing = response_writer::ResponseWriter::new(writer, queue, drain, &progress);
     let mut write = std::pin::pin!(writing.run());
@@ -193,6 +202,7 @@
     drain: drain::DrainState,
     responses: mpsc::Sender<QueuedResponse>,
     progress: &'a ConnectionProgress,
+    pipeline: Arc<turn::PipelineState>,
 }
 
 impl<R: AsyncRead + Unpin, S: CallHandler> ConnectionReader<'_, R, S> {
@@ -253,6 +263,10 @@
     /// Spawns the handler of a request and reads its body. A request that follows the last response
     /// of the connection is discarded: its caller has to send it again on another connection.
     async fn dispatch(&mut self, head: head::RequestHead) -> Option<ReadStopReason> {
+        let turn = Arc::new(self.pipeline.announce());
+        if let Err(end) = self.wait_for_streams().await {
+            return Some(end);
+        }
         if self.progress.is_closing.load(Ordering::Relaxed) {
             return Some(ReadStopReason::Finished);
         }
@@ -263,13 +277,14 @@
         let options = head.options;
         let request = Request::from_parts(head.parts, body);
         let service = Arc::clone(&self.service);
-        let task = tokio::spawn(async move { service.serve(request).await });
-        let request = RequestTask(task);
-        if self
-            .enqueue(QueuedResponse::Served { request, options })
-            .await
-            .is_err()
-        {
+        let own_turn = Arc::clone(&turn);
+        let task = tokio::spawn(async move { service.serve(request, own_turn).await });
+        let queued = QueuedResponse::Served {
+            request: RequestTask(task),
+            turn,
+            options,
+        };
+        if self.enqueue(queued).await.is_err() {
             return Some(ReadStopReason::Disconnected);
         }
         match sender {
@@ -304,13 +319,37 @@
         }
     }
 
+    /// Waits until no response of unknown length is being passed on. Keeps reading to detect a
+    /// disconnect.
+    async fn wait_for_streams(&mut self) -> Result<(), ReadStopReason> {
+        let pipeline = Arc::clone(&self.pipeline);
+        let mut streams = std::pin::pin!(pipeline.wait_for_streams());
+        loop {
+            tokio::select! {
+                biased;
+                () = &mut streams => return Ok(()),
+                read = self.read_ahead() => read?,
+            }
+        }
+    }
+
+    /// Reads into the buffer; waits for ever once it is full.
+    async fn read_ahead(&mut self) -> Result<(), ReadStopReason> {
+        if self.buffer.len() >= READ_AHEAD_BYTES {
+            return future::pending().await;
+        }
+        self.buffer.reserve(MIN_READ_BUFFER_BYTES);
+        match self.reader.read_buf(&mut self.buffer).await {
+            Ok(1..) => Ok(()),
+            _ => Err(ReadStopReason::Disconnected),
+        }
+    }
+
     /// Queues a response. While the queue is full, keeps reading to detect a disconnect.
     async fn enqueue(&mut self, response: QueuedResponse) -> Result<(), ReadStopReason> {
         let responses = self.responses.clone();
         let mut permit = std::pin::pin!(responses.reserve());
         loop {
-            let has_room = self.buffer.len() < READ_AHEAD_BYTES;
-            self.buffer.reserve(MIN_READ_BUFFER_BYTES);
             tokio::select! {
                 biased;
                 granted = &mut permit => {
@@ -321,10 +360,7 @@
                     granted.send(response);
                     return Ok(());
                 }
-                count = self.reader.read_buf(&mut self.buffer), if has_room => match count {
-                    Ok(1..) => {}
-                    _ => return Err(ReadStopReason::Disconnected),
-                },
+                read = self.read_ahead() => read?,
             }
         }
     }
--- a/crates/daemon/src/http1/response_writer.rs
+++ b/crates/daemon/src/http1/response_writer.rs
@@ -81,8 +81,14 @@
                     self.write_error(status).await;
                     ConnectionState::Closed
                 }
-                QueuedResponse::Served { request, options } => {
-                    self.write_served(request, options).await
+                QueuedResponse::Served {
+                    request,
+                    turn,
+                    options,
+                } => {
+                    let state = self.write_served(request, options).await;
+                    drop(turn);
+                    state
                 }
             };
             self.progress.pending.fetch_sub(1, Ordering::Relaxed);
--- a/crates/daemon/src/response_buffer.rs
+++ b/crates/daemon/src/response_buffer.rs
@@ -8,9 +8,19 @@
 //! node buffers, too. Otherwise it would have to close the caller's connection on a truncated
 //! response, which fails the requests pipelined behind it.
 
+use std::{
+    collections::VecDeque,
+    pin::Pin,
+    task::{Context, Poll},
+    time::Duration,
+};
+
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::{body::Body, header, http as hyper_http};
+use hyper::{
+    body::{Body, Frame},
+    header, http as hyper_http,
+};
 use snafu::Snafu;
 use tokio::time;
 
@@ -96,3 +106,65 @@
         is_complete: true,
     })
 }
+
+/// Reads a body of unknown length until it ends, exceeds a number of bytes or a time has passed.
+/// Frames stay as they are, trailers included.
+pub async fn hold(
+    mut body: http::StreamBody,
+    max_bytes: usize,
+    max_time: Duration,
+) -> Result<BufferedBody, BufferError> {
+    let end = time::Instant::now() + max_time;
+    let mut frames = VecDeque::new();
+    let mut held_bytes = 0;
+    while held_bytes <= max_bytes {
+        let Ok(frame) = time::timeout_at(end, body.frame()).await else {
+            break;
+        };
+        let Some(frame) = frame else {
+            let body = HeldBody { frames, rest: None };
+            return Ok(BufferedBody {
+                body: body.boxed_unsync(),
+                is_complete: true,
+            });
+        };
+        let frame = frame.map_err(|error| BufferError::Truncated {
+            message: error.to_string(),
+        })?;
+        held_bytes += frame.data_ref().map_or(0, Bytes::len);
+        frames.push_back(frame);
+    }
+    let rest = Some(body);
+    Ok(BufferedBody {
+        body: HeldBody { frames, rest }.boxed_unsync(),
+        is_complete: false,
+    })
+}
+
+/// Frames that were read already, and the rest of their body.
+struct HeldBody {
+    frames: VecDeque<Frame<Bytes>>,
+    rest: Option<http::StreamBody>,
+}
+
+impl Body for HeldBody {
+    type Data = Bytes;
+    type Error = http::BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        if let Some(frame) = self.frames.pop_front() {
+            return Poll::Ready(Some(Ok(frame)));
+        }
+        match &mut self.rest {
+            Some(rest) => Pin::new(rest).poll_frame(cx),
+            None => Poll::Ready(None),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.frames.is_empty() && self.rest.as_ref().is_none_or(Body::is_end_stream)
+    }
+}
--- a/tests/all/framing.rs
+++ b/tests/all/framing.rs
@@ -1,4 +1,4 @@
-//! Responses of targets whose head and body disagree about the end of the body.
+//! Responses of targets that break off, or whose head and body disagree about the end of the body.
 
 use hazeltiller_testkit::wait;
 
@@ -30,3 +30,36 @@
         assert!(!text.contains("first-half"), "{name}: {text}");
     }
 }
+
+const BROKEN_CHUNKS: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nfirst\r\n";
+const WHOLE_CHUNKS: &str =
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n";
+
+/// Guards against a small response in chunks that breaks off and takes the requests behind it along:
+/// each of them that reached the target gets its response.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_behind_break() {
+    let mut fleet = support::start_small_fleet().await;
+    let node = fleet.instance("node-1").addresses["target"];
+    let callers = fleet.instance("node-1").addresses["callers"];
+    let response = raw::RawResponse::BreaksOff("/vehicles/break", BROKEN_CHUNKS, WHOLE_CHUNKS);
+    let target = raw::RawTarget::start(node, "breaking", response).await;
+    support::wait_for_ok(&fleet, "/vehicles/ready").await;
+    let mut answered = 0;
+    for number in 0..20 {
+        let get = |name: &str, close: &str| {
+            format!("GET /vehicles/{name}-{number} HTTP/1.1\r\nhost: a\r\n{close}\r\n")
+        };
+        let requests = [
+            get("break", ""),
+            get("behind", ""),
+            get("behind", "connection: close\r\n"),
+        ];
+        let text = raw::exchange_bytes(callers, &requests.concat()).await;
+        answered += text.matches("\r\nwhole\r\n").count();
+    }
+    let received = target.received().await.concat();
+    let reached = received.matches("GET /vehicles/behind-").count();
+    assert!(reached > 0, "no request behind a break reached the target");
+    assert_eq!(answered, reached);
+}
--- a/tests/all/pipelining.rs
+++ b/tests/all/pipelining.rs
@@ -56,7 +56,11 @@
 struct FixedResponse(FrameList, Option<u64>);
 
 impl http1::CallHandler for FixedResponse {
-    async fn serve(&self, _request: http1::CallRequest) -> http1::CallResponse {
+    async fn serve(
+        &self,
+        _request: http1::CallRequest,
+        _turn: Arc<http1::RequestTurn>,
+    ) -> http1::CallResponse {
         let mut response = Response::new(self.0.clone().boxed_unsync());
         if let Some(length) = self.1 {
             let headers = response.headers_mut();
--- a/tests/all/raw.rs
+++ b/tests/all/raw.rs
@@ -25,6 +25,9 @@
     Bytes(&'static str),
     /// Writes these bytes after a request head and closes the connection.
     BytesThenClose(&'static str),
+    /// Writes the first bytes and closes the connection after a request with this text in its head,
+    /// and the second bytes after others.
+    BreaksOff(&'static str, &'static str, &'static str),
 }
 
 /// A target that records the bytes it receives.
@@ -76,6 +79,13 @@
                     drop(stream.write_all(bytes.as_bytes()).await);
                     break;
                 }
+                RawResponse::BreaksOff(marker, broken, _) if text.contains(marker) => {
+                    drop(stream.write_all(broken.as_bytes()).await);
+                    break;
+                }
+                RawResponse::BreaksOff(_, _, whole) => {
+                    drop(stream.write_all(whole.as_bytes()).await);
+                }
             }
         }
         drop(stream);
