--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -38,6 +38,9 @@
 
 use crate::{dialect, drain, http, http1, listener, process, replay, response_buffer, trace};
 
+/// Time for which the beginning of a body is awaited before its request is offered, so that the request
+/// can be told from others. A caller that sends slowly is not delayed for longer.
+const MAX_GATHER_TIME: Duration = Duration::from_millis(20);
 /// Time for which a response is held at most, so that a slow stream still arrives while it is produced.
 const MAX_HOLD_TIME: Duration = Duration::from_millis(500);
 /// Start of the HTTP/2 connection preface. No valid HTTP/1.1 request starts with these bytes.
@@ -300,8 +303,20 @@
         replay::BodySource::new(limit_body_size(body, max_body_bytes), replay_limit as usize);
     let read = match length {
         Some(length) if length <= replay_limit => source.buffer_all().await,
-        None if is_chunked => source.buffer_next_frame().await,
-        _ => Ok(()),
+        Some(_) => {
+            source
+                .buffer_some(head::PREFIX_BYTES, MAX_GATHER_TIME)
+                .await
+        }
+        None if is_chunked => match source.buffer_next_frame().await {
+            Ok(()) => {
+                source
+                    .buffer_some(replay_limit as usize, MAX_GATHER_TIME)
+                    .await
+            }
+            broken => broken,
+        },
+        None => Ok(()),
     };
     read.map_err(|_broken| {
         if source.exceeds_limit() {
@@ -310,10 +325,12 @@
             malformed()
         }
     })?;
-    let body = length
-        .filter(|length| *length <= replay_limit)
-        .map(|_| source.buffered_frames());
-    arrival.fingerprint = head::request_fingerprint(&parts, arrival.key.as_deref(), body);
+    let content = head::BodyContent {
+        frames: source.buffered_frames(),
+        is_whole: source.is_ended(),
+        length,
+    };
+    arrival.fingerprint = head::request_fingerprint(&parts, arrival.key.as_deref(), &content);
     Ok(CallerRequest {
         context: Arc::clone(context),
         id,
--- a/crates/daemon/src/callers/head.rs
+++ b/crates/daemon/src/callers/head.rs
@@ -53,12 +53,51 @@
     parts.headers.insert(header::HOST, host);
 }
 
+/// Bytes at the beginning of a long body by which its request is told from others.
+pub const PREFIX_BYTES: usize = 4096;
+
+/// What is known of a request's body before the request is offered.
+#[derive(Debug)]
+pub struct BodyContent {
+    /// The frames that have arrived.
+    pub frames: Vec<Bytes>,
+    /// Whether they are the whole body.
+    pub is_whole: bool,
+    /// The declared length, in bytes.
+    pub length: Option<u64>,
+}
+
+impl BodyContent {
+    /// Adds the content to a digest: the whole body, or the length and the beginning of a long one.
+    /// Returns whether it identifies the body.
+    fn hash(&self, hasher: &mut blake3::Hasher) -> bool {
+        if self.is_whole {
+            hasher.update(b"body");
+            for frame in &self.frames {
+                hasher.update(frame);
+            }
+            return true;
+        }
+        let Some(length) = self.length else {
+            return false;
+        };
+        hasher.update(b"prefix").update(&length.to_le_bytes());
+        let mut left = PREFIX_BYTES;
+        for frame in &self.frames {
+            let part = &frame[..left.min(frame.len())];
+            hasher.update(part);
+            left -= part.len();
+        }
+        left == 0
+    }
+}
+
 /// Returns a digest that identifies a request: of its method, path and idempotency key or, without
-/// a key, its body. Returns `None` if there is no key and the body is not buffered in full.
+/// a key, its body. Returns `None` if there is no key and too little of the body has arrived.
 pub fn request_fingerprint(
     parts: &hyper::http::request::Parts,
     key: Option<&str>,
-    body: Option<Vec<Bytes>>,
+    content: &BodyContent,
 ) -> Option<ledger::RequestDigest> {
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let mut hasher = blake3::Hasher::new();
@@ -66,15 +105,10 @@
         hasher.update(&(text.len() as u64).to_le_bytes());
         hasher.update(text.as_bytes());
     }
-    match (key, body) {
-        (Some(key), _) => drop(hasher.update(b"key").update(key.as_bytes())),
-        (None, Some(chunks)) => {
-            hasher.update(b"body");
-            for chunk in chunks {
-                hasher.update(&chunk);
-            }
-        }
-        (None, None) => return None,
+    match key {
+        Some(key) => drop(hasher.update(b"key").update(key.as_bytes())),
+        None if content.hash(&mut hasher) => {}
+        None => return None,
     }
     let digest = hasher.finalize();
     let digest = digest.as_bytes().first_chunk();
--- a/crates/daemon/src/replay.rs
+++ b/crates/daemon/src/replay.rs
@@ -7,12 +7,14 @@
     pin::Pin,
     sync::{Arc, Mutex, MutexGuard},
     task::{Context, Poll},
+    time::Duration,
 };
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError};
 use hyper::body::{Body, Frame, SizeHint};
 use snafu::Snafu;
+use tokio::time;
 
 use crate::http;
 
@@ -75,6 +77,28 @@
         Ok(())
     }
 
+    /// Buffers the body until it ends, enough of it is buffered, or a time has passed.
+    pub async fn buffer_some(
+        &self,
+        wanted_bytes: usize,
+        max_time: Duration,
+    ) -> Result<(), http::BodyError> {
+        let end = time::Instant::now() + max_time;
+        while !self.is_ended() && self.buffered_bytes() < wanted_bytes as u64 {
+            match time::timeout_at(end, self.buffer_next_frame()).await {
+                Ok(Ok(())) => {}
+                Ok(Err(error)) => return Err(error),
+                Err(_elapsed) => break,
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns whether the whole body is buffered.
+    pub fn is_ended(&self) -> bool {
+        self.state().is_ended
+    }
+
     /// Returns the buffered frames.
     pub fn buffered_frames(&self) -> Vec<Bytes> {
         self.state().buffered.clone()
--- a/tests/all/crashing.rs
+++ b/tests/all/crashing.rs
@@ -8,10 +8,65 @@
 use hyper::Request;
 use tokio::time;
 
-use crate::support;
+use crate::{raw, support};
 
 const PATH: &str = "/certificates/crash-target";
 
+/// How the body of the crashing request is sent.
+#[derive(Debug, Clone, Copy)]
+enum BodyForm {
+    Length(usize),
+    Chunks,
+}
+
+impl BodyForm {
+    /// Returns a request with this body, without connection headers.
+    fn request(self, path: &str) -> String {
+        let head = format!("POST {path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n");
+        match self {
+            Self::Length(length) => {
+                let body = "b".repeat(length);
+                format!("{head}content-length: {length}\r\n\r\n{body}")
+            }
+            Self::Chunks => {
+                format!("{head}transfer-encoding: chunked\r\n\r\n3\r\nbad\r\n0\r\n\r\n")
+            }
+        }
+    }
+}
+
+/// Guards against a crashing request that is never quarantined because its body comes in chunks, or is
+/// longer than what is kept of a body.
+#[tokio::test(flavor = "multi_thread")]
+async fn any_body_quarantined() {
+    for form in [BodyForm::Chunks, BodyForm::Length(100_000)] {
+        let mut fleet = support::start_small_fleet().await;
+        let behaviour = behaviour::StandInBehaviour {
+            crash_pause_ms: Some(300),
+            ..behaviour::StandInBehaviour::default()
+        };
+        let target = support::start_stand_in_with(&mut fleet, "node-1", "a", behaviour).await;
+        support::wait_for_routing(&fleet, "node-1").await;
+        let callers = fleet.instance("node-1").addresses["callers"];
+        let request = form.request(PATH);
+        wait::until("quarantine of the request", || async {
+            let text = raw::exchange_bytes(callers, &request).await;
+            time::sleep(Duration::from_millis(100)).await;
+            text.contains("HZ3008").then_some(())
+        })
+        .await;
+        let crashes = target.runs().len();
+        for _ in 0..4 {
+            let text = raw::exchange_bytes(callers, &request).await;
+            assert!(text.contains("HZ3008"), "{form:?}: {text}");
+        }
+        assert_eq!(target.runs().len(), crashes, "{form:?}");
+        let other = BodyForm::Length(90_000).request("/certificates/7");
+        let text = raw::exchange_bytes(callers, &other).await;
+        assert!(!text.contains("HZ3008"), "{form:?}: {text}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn request_quarantined() {
     let mut fleet = support::start_two_nodes().await;
