See the close of a caller whose body nobody reads (GONE)

Targets saw: requests that reached them up to seconds after their callers had closed their connections.

Cause: while a request waits for a slot nobody takes its body. After four frames the connection was not read any more, so its end behind the rest of a long body went unnoticed until the request ran.

A connection that is not read is watched: every 50 ms its readiness tells whether the peer has closed it, data before the end or not. Then it is treated as when the end is read: its requests are withdrawn.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -71,7 +71,7 @@
         return;
     };
     let (reader, writer) = stream.into_split();
-    let reader = std::io::Cursor::new(preface.freeze()).chain(reader);
+    let reader = http1::CallerStream::new(preface.freeze(), reader);
     if is_http2 {
         let stream = tokio::io::join(reader, writer);
         serve_http2(&context, stream, uses_link, &limits).await;
--- a/crates/daemon/src/http1.rs
+++ b/crates/daemon/src/http1.rs
@@ -10,6 +10,7 @@
 //! rejected, and the connection is closed.
 
 mod body;
+mod caller_stream;
 mod head;
 mod response_writer;
 mod turn;
@@ -35,6 +36,7 @@
 use crate::{drain, http};
 
 pub use body::RequestBody;
+pub use caller_stream::{CallerStream, CloseWatch};
 pub use turn::RequestTurn;
 
 /// Maximum number of responses queued per connection. Further requests are not parsed until the
@@ -114,7 +116,7 @@
     service: Arc<S>,
     drain: drain::DrainState,
 ) where
-    R: AsyncRead + Unpin,
+    R: AsyncRead + CloseWatch + Unpin,
     W: AsyncWrite + Unpin,
     S: CallHandler,
 {
@@ -205,7 +207,7 @@
     pipeline: Arc<turn::PipelineState>,
 }
 
-impl<R: AsyncRead + Unpin, S: CallHandler> ConnectionReader<'_, R, S> {
+impl<R: AsyncRead + CloseWatch + Unpin, S: CallHandler> ConnectionReader<'_, R, S> {
     async fn run(&mut self) -> ReadStopReason {
         loop {
             let head = match self.next_head().await {
@@ -293,9 +295,16 @@
         }
     }
 
+    /// Reads a body for its handler. While the handler takes none of it, the connection is not read,
+    /// but watched for its end.
     async fn read_body(&mut self, mut sender: body::BodySender) -> Option<ReadStopReason> {
         loop {
-            match sender.feed(&mut self.buffer).await {
+            let fed = tokio::select! {
+                biased;
+                fed = sender.feed(&mut self.buffer) => fed,
+                () = self.reader.closed() => return Some(ReadStopReason::Disconnected),
+            };
+            match fed {
                 Ok(body::BodyProgress::Complete) => return None,
                 Ok(body::BodyProgress::Incomplete) => {}
                 // The handler has been notified. The start of the next request is unknown.
--- a/tests/all/hygiene.rs
+++ b/tests/all/hygiene.rs
@@ -1,12 +1,15 @@
 //! HTTP message hygiene: request smuggling, hop-by-hop headers, reserved headers and truncated
 //! responses.
 
+use std::time::Duration;
+
 use hazeltiller_daemon::http;
 use hazeltiller_standin::behaviour;
 use hazeltiller_testkit::{fleet, proxy, wait};
 use hazeltiller_units::code;
 use hazeltiller_wire::calls;
 use serde_json::json;
+use tokio::{io::AsyncWriteExt, net::TcpStream, time};
 
 use crate::{
     raw::{self, RawResponse},
@@ -402,3 +405,52 @@
         "the target received more than the limit"
     );
 }
+
+/// Guards against a request that reaches a target after its caller has closed the connection: with a
+/// long body it waits for a slot, and nobody reads the connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn waiting_caller_leaves() {
+    const SLOTS: usize = 10;
+    let (mut fleet, target) = start_raw_target(RawResponse::Bytes("")).await;
+    let mut entries = support::first_change()["put"].clone();
+    entries[0]["limits"] = json!({"queue_ms": 60_000});
+    entries[2]["limits"] = json!({"first_byte_ms": 600_000});
+    entries[4]["limits"] = json!({"deadline_ms": 600_000});
+    let change = json!({"change_id": "patient", "expects": 1, "put": entries, "remove": []});
+    let (status, document) = fleet
+        .change("control-1", &change)
+        .await
+        .expect("a response");
+    assert_eq!(status, 200, "{document}");
+    fleet.wait_version(&["node-1"], 2).await;
+    let callers = fleet.instance("node-1").addresses["callers"];
+    let mut running = Vec::new();
+    for number in 0..SLOTS {
+        let mut stream = TcpStream::connect(callers).await.expect("the node listens");
+        let request = format!("GET /vehicles/{number} HTTP/1.1\r\nhost: a\r\n\r\n");
+        let sent = stream.write_all(request.as_bytes()).await;
+        sent.expect("the request is written");
+        raw::wait_for_request(&target, &format!("/vehicles/{number} ")).await;
+        running.push(stream);
+    }
+    let mut waiting = TcpStream::connect(callers).await.expect("the node listens");
+    let body = "b".repeat(120_000);
+    let length = body.len();
+    let head =
+        format!("POST /certificates/left HTTP/1.1\r\nhost: a\r\ncontent-length: {length}\r\n\r\n");
+    let sent = waiting.write_all(format!("{head}{body}").as_bytes()).await;
+    sent.expect("the request is written");
+    time::sleep(Duration::from_millis(300)).await;
+    drop(waiting);
+    time::sleep(Duration::from_millis(500)).await;
+    drop(running);
+    let mut last = TcpStream::connect(callers).await.expect("the node listens");
+    let sent = last
+        .write_all(b"GET /vehicles/last HTTP/1.1\r\nhost: a\r\n\r\n")
+        .await;
+    sent.expect("the request is written");
+    raw::wait_for_request(&target, "/vehicles/last ").await;
+    time::sleep(Duration::from_millis(500)).await;
+    let received = target.received().await.concat();
+    assert!(!received.contains("/certificates/left"));
+}
