--- a/crates/daemon/src/http1/caller_stream.rs
+++ b/crates/daemon/src/http1/caller_stream.rs
@@ -47,14 +47,14 @@
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
+        buf: &mut ReadBuf<'_>,
     ) -> Poll<std::io::Result<()>> {
         if self.first.has_remaining() {
-            let count = self.first.len().min(buffer.remaining());
-            buffer.put_slice(&self.first.split_to(count));
+            let count = self.first.len().min(buf.remaining());
+            buf.put_slice(&self.first.split_to(count));
             return Poll::Ready(Ok(()));
         }
-        Pin::new(&mut self.reader).poll_read(cx, buffer)
+        Pin::new(&mut self.reader).poll_read(cx, buf)
     }
 }
 
