A body in chunks that was cut does not pass for whole

Seen on reading the diff: a claimed request goes on after its caller has left. Where its connection ended while nobody read the body, the queue of frames just closed, and a body without a length took that for its end.

The sender notes when it has passed on the whole body; a queue that closes without that is an error.

pipelining::chunks_cut_unread: five chunks of a body without an end, the caller closes, the body is read afterwards; before: ended without an error. An earlier form of the test sent ten chunks at once and waited for ever, since they do not fit into the buffers of both sockets.

--- a/crates/daemon/src/http1/body.rs
+++ b/crates/daemon/src/http1/body.rs
@@ -2,6 +2,10 @@
 
 use std::{
     pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     task::{Context, Poll},
 };
 
@@ -75,6 +79,8 @@
 #[derive(Debug)]
 pub(super) struct BodySender {
     frames: mpsc::Sender<Result<Frame<Bytes>, http::BodyError>>,
+    /// Set once the whole body was sent to the handler.
+    is_complete: Arc<AtomicBool>,
     state: BodyState,
     /// Bytes that came after the handler had stopped reading.
     discarded_bytes: usize,
@@ -101,13 +107,16 @@
         BodyFraming::Chunked => (BodyState::Chunked(ChunkState::Size), None),
     };
     let (frames, receiver) = mpsc::channel(QUEUE_CAPACITY_FRAMES);
+    let is_complete = Arc::<AtomicBool>::default();
     let body = RequestBody {
         frames: receiver,
+        is_complete: Arc::clone(&is_complete),
         remaining: length,
         is_ended: false,
     };
     let sender = BodySender {
         frames,
+        is_complete,
         state,
         discarded_bytes: 0,
     };
@@ -132,7 +141,10 @@
                 },
             };
             match step {
-                BodyDecodeStep::Complete => return Ok(BodyProgress::Complete),
+                BodyDecodeStep::Complete => {
+                    self.is_complete.store(true, Ordering::Release);
+                    return Ok(BodyProgress::Complete);
+                }
                 BodyDecodeStep::Incomplete => return Ok(BodyProgress::Incomplete),
                 BodyDecodeStep::Next(state) => self.state = state,
             }
@@ -260,6 +272,7 @@
 #[derive(Debug)]
 pub struct RequestBody {
     frames: mpsc::Receiver<Result<Frame<Bytes>, http::BodyError>>,
+    is_complete: Arc<AtomicBool>,
     /// Bytes not yet read, if the head declared a length.
     remaining: Option<u64>,
     is_ended: bool,
@@ -277,9 +290,10 @@
         if let (Some(Ok(frame)), Some(remaining)) = (&frame, &mut self.remaining) {
             *remaining -= frame.data_ref().map_or(0, |data| data.len() as u64);
         }
-        self.is_ended = frame.is_none();
-        if frame.is_none() && self.remaining.is_some_and(|remaining| remaining > 0) {
-            self.remaining = None;
+        let was_ended = std::mem::replace(&mut self.is_ended, frame.is_none());
+        // Without a length, only the sender knows whether the body ended or its connection did.
+        let is_whole = self.remaining == Some(0) || self.is_complete.load(Ordering::Acquire);
+        if frame.is_none() && !was_ended && !is_whole {
             return Poll::Ready(Some(Err(BodyReadError::Disconnected.into())));
         }
         Poll::Ready(frame)
--- a/tests/all/pipelining.rs
+++ b/tests/all/pipelining.rs
@@ -19,6 +19,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpSocket,
+    sync::mpsc,
 };
 
 const LIMITS: http1::ConnectionLimits = http1::ConnectionLimits {
@@ -204,3 +205,60 @@
     drop(stream);
     serving.await.expect("the connection task does not panic");
 }
+
+/// A handler that hands the body of its request to somebody else and does not end.
+struct BodyKeeper(mpsc::UnboundedSender<http::StreamBody>);
+
+impl http1::CallHandler for BodyKeeper {
+    async fn serve(
+        &self,
+        request: http1::CallRequest,
+        _turn: Arc<http1::RequestTurn>,
+    ) -> http1::CallResponse {
+        let sent = self.0.send(request.into_body());
+        sent.expect("the test receives the body");
+        std::future::pending().await
+    }
+}
+
+/// Guards against a body in chunks that passes for whole although its caller closed the connection in
+/// the middle of it, while nobody read it.
+#[tokio::test(flavor = "multi_thread")]
+async fn chunks_cut_unread() {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    let address = "127.0.0.1:0".parse().expect("a valid address");
+    socket.bind(address).expect("a free port");
+    let listener = socket.listen(1).expect("a free port");
+    let address = listener.local_addr().expect("the listener is bound");
+    let mut caller = tokio::net::TcpStream::connect(address)
+        .await
+        .expect("the listener accepts");
+    let (stream, _) = listener.accept().await.expect("a connection");
+    let (reader, writer) = stream.into_split();
+    let reader = http1::CallerStream::new(Bytes::new(), reader);
+    let (bodies, mut kept) = mpsc::unbounded_channel();
+    let service = Arc::new(BodyKeeper(bodies));
+    let serving = tokio::spawn(http1::serve(
+        reader,
+        writer,
+        LIMITS,
+        service,
+        drain::DrainState::default(),
+    ));
+    let head = "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n";
+    let chunk = format!("4000\r\n{}\r\n", "b".repeat(0x4000));
+    let sent = caller
+        .write_all(format!("{head}{}", chunk.repeat(5)).as_bytes())
+        .await;
+    sent.expect("the request is written");
+    let mut body = kept.recv().await.expect("the request is read");
+    drop(caller);
+    serving.await.expect("the connection is served to its end");
+    let last = loop {
+        match body.frame().await {
+            Some(Ok(_)) => {}
+            last => break last,
+        }
+    };
+    assert!(matches!(last, Some(Err(_))), "the body was cut");
+}
