Split the observer and the timeline events into smaller files

observer/open_calls.rs has what is derived of calls, timeline/values.rs the types of the fields of events. Moved as they were; the names outside stay, and nothing that leaves a process changes.

--- a/crates/daemon/src/observer/usage.rs
+++ b/crates/daemon/src/observer/usage.rs
@@ -10,7 +10,7 @@
 use hazeltiller_units::{ids, time};
 use indexmap::IndexMap;
 
-use super::OpenCall;
+use super::open_calls::OpenCall;
 use crate::{metrics, timeline};
 
 /// Interval at which totals are reported.
