See the close of a caller behind more requests than are read ahead

A connection with more pipelined requests than are dispatched at once is read ahead up to 64 KiB; behind more its end was not seen, and all of its requests went on.

--- a/crates/daemon/src/http1.rs
+++ b/crates/daemon/src/http1.rs
@@ -342,10 +342,11 @@
         }
     }
 
-    /// Reads into the buffer; waits for ever once it is full.
+    /// Reads into the buffer. Once it is full, the connection is only watched for its end.
     async fn read_ahead(&mut self) -> Result<(), ReadStopReason> {
         if self.buffer.len() >= READ_AHEAD_BYTES {
-            return future::pending().await;
+            self.reader.closed().await;
+            return Err(ReadStopReason::Disconnected);
         }
         self.buffer.reserve(MIN_READ_BUFFER_BYTES);
         match self.reader.read_buf(&mut self.buffer).await {
--- a/tests/all/pipelining.rs
+++ b/tests/all/pipelining.rs
@@ -11,6 +11,7 @@
 
 use bytes::Bytes;
 use hazeltiller_daemon::{drain, http, http1};
+use hazeltiller_testkit::wait;
 use http_body_util::BodyExt;
 use hyper::{
     HeaderMap, Response,
@@ -18,7 +19,7 @@
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpSocket,
+    net::{TcpListener, TcpSocket, TcpStream, tcp::OwnedWriteHalf},
     sync::mpsc,
 };
 
@@ -221,21 +222,40 @@
     }
 }
 
+/// Returns a connection: its caller's side, and the two halves of the node's.
+async fn connection() -> (TcpStream, http1::CallerStream, OwnedWriteHalf) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("the listener is bound");
+    let caller = TcpStream::connect(address).await;
+    let (stream, _from) = listener.accept().await.expect("a connection");
+    let (reader, writer) = stream.into_split();
+    let reader = http1::CallerStream::new(Bytes::new(), reader);
+    (caller.expect("the listener accepts"), reader, writer)
+}
+
+/// Guards against requests that go on after their caller has left, because the connection is not read
+/// while more of them wait than are dispatched at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn close_behind_requests() {
+    const REQUESTS: usize = 4000;
+    let (mut caller, reader, writer) = connection().await;
+    let (bodies, _kept) = mpsc::unbounded_channel();
+    let service = Arc::new(BodyKeeper(bodies));
+    let drain = drain::DrainState::default();
+    let serving = tokio::spawn(http1::serve(reader, writer, LIMITS, service, drain));
+    let requests = "GET / HTTP/1.1\r\nhost: a\r\n\r\n".repeat(REQUESTS);
+    let sent = caller.write_all(requests.as_bytes()).await;
+    sent.expect("the requests are written");
+    drop(caller);
+    let served = wait::complete("the end of the connection", serving).await;
+    served.expect("the connection is served to its end");
+}
+
 /// Guards against a body in chunks that passes for whole although its caller closed the connection in
 /// the middle of it, while nobody read it.
 #[tokio::test(flavor = "multi_thread")]
 async fn chunks_cut_unread() {
-    let socket = TcpSocket::new_v4().expect("a socket");
-    let address = "127.0.0.1:0".parse().expect("a valid address");
-    socket.bind(address).expect("a free port");
-    let listener = socket.listen(1).expect("a free port");
-    let address = listener.local_addr().expect("the listener is bound");
-    let mut caller = tokio::net::TcpStream::connect(address)
-        .await
-        .expect("the listener accepts");
-    let (stream, _) = listener.accept().await.expect("a connection");
-    let (reader, writer) = stream.into_split();
-    let reader = http1::CallerStream::new(Bytes::new(), reader);
+    let (mut caller, reader, writer) = connection().await;
     let (bodies, mut kept) = mpsc::unbounded_channel();
     let service = Arc::new(BodyKeeper(bodies));
     let serving = tokio::spawn(http1::serve(
