Settings for the memory and the descriptors of a process

Cause: a process knew neither how much memory nor how many descriptors its machine gives it, so that no limit could follow from them and no log told an operator what a process that ended had been allowed.

Both are logged at the start and served as `hazeltiller_process_limit`. Nothing is decided by them yet.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod pool;
 pub mod probe;
 pub mod process;
+pub mod process_limits;
 pub mod questions;
 pub mod readiness;
 pub mod reload;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -173,6 +173,8 @@
     sync_seconds: histogram "hazeltiller_store_sync_seconds" [];
     /// Batches written to the log.
     batches: counter "hazeltiller_store_batches_total" [];
+    /// Limits of the machine on this process: memory_bytes (none if unknown) and descriptors.
+    process_limits: gauge "hazeltiller_process_limit" ["resource"];
     /// Events that the reducer took.
     events: counter "hazeltiller_engine_events_total" [];
     /// Time that the reducer and its effects took, in microseconds.
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -30,7 +30,7 @@
 use crate::{
     byte_counts, callers, claims_task, critical_tasks, dialect, drain, engine_actor, handshake,
     link_shares, links, metrics, notices_task, observer, operators, owner, peers, pool, probe,
-    readiness, settings, store_task, targets, timeline, trace,
+    process_limits, readiness, settings, store_task, targets, timeline, trace,
 };
 
 /// Interval of the tick events that drive the timers of the reducer.
@@ -302,6 +302,7 @@
     };
     let (in_force_sender, in_force) = watch::channel(Arc::clone(&state.dissemination.in_force));
     let metrics = Arc::<metrics::ProcessMetrics>::default();
+    process_limits::ProcessLimits::read(&settings.installation).report(&metrics);
     let clock = timeline::HybridClock::default();
     let timeline = timeline::Timeline::new(
         settings.instance.clone(),
--- a/crates/daemon/src/settings/installation.rs
+++ b/crates/daemon/src/settings/installation.rs
@@ -19,6 +19,10 @@
 
 /// Allowed rates of a machine's link, in Mbit/s.
 pub const LINK_RANGE_MBPS: RangeInclusive<f64> = 0.0..=100_000.0;
+/// Allowed sizes of a machine's memory, in megabytes.
+pub const MEMORY_RANGE_MB: RangeInclusive<f64> = 32.0..=1_000_000.0;
+/// Allowed numbers of descriptors that a process may open.
+pub const DESCRIPTORS_RANGE: RangeInclusive<f64> = 128.0..=10_000_000.0;
 /// Allowed numbers of retries or requests beyond a limit.
 pub const SLACK_RANGE: RangeInclusive<f64> = 0.0..=100_000.0;
 
@@ -67,6 +71,10 @@
     pub allowance_slack: Option<f64>,
     /// Rate of the machine's link, in Mbit/s.
     pub link_mbps: Option<f64>,
+    /// Memory that the process may use, in megabytes of 1,000,000 bytes.
+    pub memory_mb: Option<f64>,
+    /// Descriptors that the process may open, if fewer than the operating system allows.
+    pub descriptors: Option<f64>,
 }
 
 impl InstallationSettings {
--- a/crates/daemon/src/settings/schema.rs
+++ b/crates/daemon/src/settings/schema.rs
@@ -269,6 +269,20 @@
             "unknown",
             "Rate of the machine's link, in Mbit/s; bandwidth.link_kbits is derived from it.",
         ),
+        row(
+            "installation.memory_mb",
+            SettingKind::Decimal(installation::MEMORY_RANGE_MB),
+            false,
+            "unknown",
+            "Memory that the process may use, in megabytes.",
+        ),
+        row(
+            "installation.descriptors",
+            SettingKind::Decimal(installation::DESCRIPTORS_RANGE),
+            false,
+            "the limit of the operating system",
+            "Descriptors that the process may open, if fewer than the operating system allows.",
+        ),
         row(
             "installation.canary_share",
             SettingKind::Decimal(installation::CANARY_SHARE_RANGE),
--- a/crates/units/src/measure.rs
+++ b/crates/units/src/measure.rs
@@ -162,3 +162,31 @@
         rate.ok_or_else(|| LinkRateError { text: text.into() })
     }
 }
+
+/// Error for a text that is not a size.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(display("{text:?} is not a size: a whole number of bytes is expected"))]
+pub struct ByteSizeError {
+    text: String,
+}
+
+/// A number of bytes, written `65536`.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ByteSize(pub u64);
+
+impl fmt::Display for ByteSize {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.0, f)
+    }
+}
+
+impl FromStr for ByteSize {
+    type Err = ByteSizeError;
+
+    fn from_str(text: &str) -> Result<Self, ByteSizeError> {
+        let bytes = text.parse();
+        bytes
+            .map(Self)
+            .map_err(|_not_a_number| ByteSizeError { text: text.into() })
+    }
+}
