--- a/crates/testkit/src/fleet.rs
+++ b/crates/testkit/src/fleet.rs
@@ -36,6 +36,8 @@
     pub settings: Value,
     /// Addresses of its listeners, by the names in the ready line of its last start.
     pub addresses: IndexMap<String, SocketAddr>,
+    /// Descriptors that the process may open; the limit of the tests' own process if absent.
+    pub max_descriptors: Option<u32>,
     child: Option<Child>,
 }
 
@@ -124,6 +126,7 @@
             proxy,
             settings,
             addresses,
+            max_descriptors: None,
             child: None,
         };
         self.instances.insert(name.into(), instance);
@@ -151,7 +154,7 @@
                 .create(true)
                 .append(true)
                 .open(&log);
-            let mut child = Command::new(&self.binary)
+            let mut child = daemon_command(&self.binary, instance.max_descriptors)
                 .arg("--settings")
                 .arg(&file)
                 .args(arguments)
@@ -291,6 +294,17 @@
     }
 }
 
+/// Returns the command that starts the daemon, with a limit on its descriptors if one is given.
+fn daemon_command(binary: &Path, max_descriptors: Option<u32>) -> Command {
+    let Some(max_descriptors) = max_descriptors else {
+        return Command::new(binary);
+    };
+    let mut command = Command::new("sh");
+    let script = format!("ulimit -n {max_descriptors} && exec \"$0\" \"$@\"");
+    command.arg("-c").arg(script).arg(binary);
+    command
+}
+
 fn parse_ready_line(line: &str) -> IndexMap<String, SocketAddr> {
     let pair = |word: &str| {
         let (name, address) = word
