Limit the connections of each listener

What callers saw: 400 connections without a request, from whoever reaches a listener, took all descriptors of a process. An ordinary caller was not answered for as long as they stayed, and the process could not open a connection to a target, a peer or its disk either.

Those of operators and targets had no time limit at all, since the HTTP library's needs a timer, and the bodies there none either.

Change: a table in the engine, which a test runs without a network, decides on each accepted connection. Each listener has a limit from the descriptors of the process: a third for the listener that most clients use, a sixteenth for the others, an eighth for peers that have not authenticated themselves; a quarter stays for targets, peers and the disk. At the limit a new connection takes the place of one that has never sent a request, then of the one that has been idle longest, then of one whose client doesn't read; one with a request under way whose client reads is never closed. Peers have a second for their handshake before they give way, since a fleet that starts at once is slow. The listeners of targets, operators and readiness checks wait `connections.head_ms` for a head and `connections.body_ms` for a body. What was closed or refused is logged once a second and served as metrics.

No client inside the limits meets them: the smallest machine (4,096 descriptors) takes 1,351 connections of callers at a node.

Why it works: a descriptor is given only within a limit, and the limits leave a reserve.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -12,7 +12,7 @@
 
 use bytes::BytesMut;
 use hazeltiller_catalogue::entry;
-use hazeltiller_engine::{calls, event, settings as engine_settings};
+use hazeltiller_engine::{calls, connections, event, settings as engine_settings};
 use hazeltiller_units::{code, ids};
 use hazeltiller_wire::calls as wire;
 use http_body_util::{BodyExt, Limited};
@@ -36,7 +36,10 @@
 mod placement;
 mod stored_response;
 
-use crate::{dialect, drain, http, http1, listener, process, replay, response_buffer, trace};
+use crate::{
+    client_connections, counted_stream, dialect, drain, http, http1, listener, process, replay,
+    response_buffer, trace,
+};
 
 /// Start of the HTTP/2 connection preface. No valid HTTP/1.1 request starts with these bytes.
 const HTTP2_PREFACE: &[u8] = b"PRI * HTTP/2.0";
@@ -45,15 +48,27 @@
 /// leaving still accepts them.
 pub async fn serve(context: Arc<process::ProcessContext>, listener: TcpListener) {
     loop {
-        let (stream, _from) = tokio::select! {
-            accepted = listener::accept(&listener, "callers") => accepted,
+        let kind = connections::ListenerKind::Callers;
+        let accepted = tokio::select! {
+            accepted = listener::accept(&context.connections, &listener, kind) => accepted,
             () = context.drain.wait_for_phase(drain::DrainPhase::Closing) => return,
         };
-        tokio::spawn(serve_connection(Arc::clone(&context), stream));
+        let context = Arc::clone(&context);
+        tokio::spawn(async move {
+            let listener::AcceptedClient { stream, guard, .. } = accepted;
+            tokio::select! {
+                () = serve_connection(context, stream, guard.connection()) => {}
+                () = guard.closed() => {}
+            }
+        });
     }
 }
 
-async fn serve_connection(context: Arc<process::ProcessContext>, mut stream: TcpStream) {
+async fn serve_connection(
+    context: Arc<process::ProcessContext>,
+    mut stream: TcpStream,
+    connection: &client_connections::ClientConnection,
+) {
     let in_flight_guard = context.drain.in_flight();
     let limits = connection_limits(&context);
     let uses_link = uses_link(&stream);
@@ -66,6 +81,7 @@
         return;
     };
     let (reader, writer) = stream.into_split();
+    let writer = counted_stream::CountedStream::new(writer, connection.written());
     let reader = http1::CallerStream::new(preface.freeze(), reader);
     if is_http2 {
         let stream = tokio::io::join(reader, writer);
--- a/crates/daemon/src/peers/counted_stream.rs
+++ b/crates/daemon/src/counted_stream.rs
@@ -1,5 +1,5 @@
-//! A connection that counts the bytes which its socket has accepted, so that a stopping node can tell
-//! a peer that still receives responses from one that is cut off.
+//! A connection that counts the bytes which its socket has accepted, so that a peer or a caller that
+//! receives its responses can be told from one that does not.
 
 use std::{
     io::{self, IoSlice},
@@ -11,10 +11,7 @@
     task::{Context, Poll},
 };
 
-use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::TcpStream,
-};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 /// Number of bytes written to a connection.
 #[derive(Debug, Clone, Default)]
@@ -33,26 +30,21 @@
     }
 }
 
-/// A TCP connection with a count of the bytes written to it.
+/// A connection, or its writing half, with a count of the bytes written to it.
 #[derive(Debug)]
-pub struct CountedStream {
-    stream: TcpStream,
+pub struct CountedStream<S> {
+    stream: S,
     written: WrittenBytes,
 }
 
-impl CountedStream {
-    /// Wraps a connection. Returns its count as well.
-    pub fn new(stream: TcpStream) -> (Self, WrittenBytes) {
-        let written = WrittenBytes::default();
-        let counted = Self {
-            stream,
-            written: written.clone(),
-        };
-        (counted, written)
+impl<S> CountedStream<S> {
+    /// Wraps a connection whose bytes are added to a count.
+    pub fn new(stream: S, written: WrittenBytes) -> Self {
+        Self { stream, written }
     }
 }
 
-impl AsyncRead for CountedStream {
+impl<S: AsyncRead + Unpin> AsyncRead for CountedStream<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -62,7 +54,7 @@
     }
 }
 
-impl AsyncWrite for CountedStream {
+impl<S: AsyncWrite + Unpin> AsyncWrite for CountedStream<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -1,13 +1,16 @@
 //! Helpers shared by all HTTP listeners and clients of the process: bodies, JSON responses,
 //! refusals and headers.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use futures_util::{StreamExt, stream};
 use hazeltiller_units::code;
 use hazeltiller_wire::{calls as wire, codec};
-use http_body_util::{BodyExt, BodyStream, Full, combinators::UnsyncBoxBody};
+use http_body_util::{BodyExt, BodyStream, Full, Limited, combinators::UnsyncBoxBody};
 use hyper::{Response, StatusCode, body::Frame, header};
 use serde::{Serialize, de::DeserializeOwned};
+use tokio::time;
 
 /// Error while a body is read, for instance because its sender disconnected.
 pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
@@ -46,6 +49,20 @@
     http_body_util::StreamBody::new(first.chain(BodyStream::new(rest))).boxed_unsync()
 }
 
+/// Collects a body of at most `max_bytes` that comes within a time.
+pub async fn collect_body<B>(
+    body: B,
+    max_bytes: usize,
+    max_time: Duration,
+) -> Result<Bytes, BodyError>
+where
+    B: hyper::body::Body,
+    B::Error: Into<BodyError>,
+{
+    let collecting = Limited::new(body, max_bytes).collect();
+    Ok(time::timeout(max_time, collecting).await??.to_bytes())
+}
+
 /// Returns a response with a JSON body.
 pub fn json_response<T: Serialize>(status: StatusCode, value: &T) -> Response<StreamBody> {
     let text = serde_json::to_vec(value).expect("response documents have only string keys");
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod byte_counts;
 pub mod callers;
 pub mod claims_task;
+pub mod client_connections;
+pub mod counted_stream;
 pub mod critical_tasks;
 pub mod dialect;
 pub mod disk_writer;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -175,6 +175,14 @@
     batches: counter "hazeltiller_store_batches_total" [];
     /// Limits of the machine on this process: memory_bytes (none if unknown) and descriptors.
     process_limits: gauge "hazeltiller_process_limit" ["resource"];
+    /// Connections of clients, by listener; of peers only those that have not authenticated themselves.
+    connections: gauge "hazeltiller_connections" ["listener"];
+    /// Connections that were ended for a limit, by listener and reason: refused (the listener is at its limit), displaced (closed for a new one) or slow (the client did not read).
+    ended_connections: counter "hazeltiller_connections_ended_total" ["listener", "reason"];
+    /// Bytes held for clients: heads and bodies of requests, and responses that were not written yet.
+    held_bytes: gauge "hazeltiller_held_bytes" [];
+    /// Requests refused because too much was held for clients.
+    memory_refusals: counter "hazeltiller_memory_refusals_total" [];
     /// Events that the reducer took.
     events: counter "hazeltiller_engine_events_total" [];
     /// Time that the reducer and its effects took, in microseconds.
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -9,12 +9,12 @@
 mod rollouts;
 mod status;
 
-use std::{convert::Infallible, net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc};
 
 use hazeltiller_catalogue::change;
+use hazeltiller_engine::connections;
 use hazeltiller_units::{code, ids};
-use hyper::{Method, Request, Response, StatusCode, body::Incoming, server::conn::http1, service};
-use hyper_util::rt;
+use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use serde::Serialize;
 use tokio::net::TcpListener;
 
@@ -33,19 +33,13 @@
 /// Serves the listener until the process stops.
 pub async fn serve(context: Arc<process::ProcessContext>, listener: TcpListener) {
     loop {
-        let (stream, from) = listener::accept(&listener, "operators").await;
-        let context = Arc::clone(&context);
-        let service = service::service_fn(move |request| {
-            let context = Arc::clone(&context);
-            async move { Ok::<_, Infallible>(route(&context, from, request).await) }
-        });
+        let kind = connections::ListenerKind::Operators;
+        let accepted = listener::accept(&context.connections, &listener, kind).await;
+        let (context, from) = (Arc::clone(&context), accepted.from);
         tokio::spawn(async move {
-            let served = http1::Builder::new()
-                .serve_connection(rt::TokioIo::new(stream), service)
-                .await;
-            if let Err(error) = served {
-                log::debug!("operator connection failed: {error}");
-            }
+            let tunables = &context.connection_tunables;
+            let handler = |request| route(&context, from, request);
+            listener::serve_requests(accepted, tunables, handler).await;
         });
     }
 }
--- a/crates/daemon/src/operators/observability.rs
+++ b/crates/daemon/src/operators/observability.rs
@@ -30,6 +30,7 @@
     let _: Option<()> = context.engine.inspect(update).await;
     gauges::update_byte_counters(&context.bytes, &context.metrics);
     gauges::update_link_counters(&context.link, &context.metrics);
+    context.connections.update_metrics(&context.metrics);
     let mut response = Response::new(http::full_body(context.metrics.render()));
     let content_type = header::HeaderValue::from_static(METRICS_CONTENT_TYPE);
     response
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -3,6 +3,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use hazeltiller_engine::connections;
 use hazeltiller_wire::{codec, handshake as wire, membership, message};
 use http_body_util::BodyExt;
 use hyper::{server::conn::http2, service};
@@ -14,9 +15,7 @@
     time,
 };
 
-mod counted_stream;
-
-use crate::{drain, handshake, links, listener, owner, pool, process, questions};
+use crate::{counted_stream, drain, handshake, links, listener, owner, pool, process, questions};
 
 /// Time without progress after which a stopping node closes a connection whose last response has been
 /// handed over. What is buffered of it goes out as the peer reads, which is slow on a narrow link.
@@ -28,13 +27,26 @@
 /// Serves the listener until the process stops.
 pub async fn serve(context: Arc<process::ProcessContext>, listener: TcpListener) {
     loop {
-        let (stream, _from) = listener::accept(&listener, "peers").await;
-        tokio::spawn(serve_connection(Arc::clone(&context), stream));
+        let kind = connections::ListenerKind::Peers;
+        let accepted = listener::accept(&context.connections, &listener, kind).await;
+        tokio::spawn(serve_connection(Arc::clone(&context), accepted));
     }
 }
 
-async fn serve_connection(context: Arc<process::ProcessContext>, mut stream: TcpStream) {
-    let (identity, purpose) = match context.credentials.accept(&mut stream).await {
+async fn serve_connection(
+    context: Arc<process::ProcessContext>,
+    accepted: listener::AcceptedClient,
+) {
+    let listener::AcceptedClient {
+        mut stream, guard, ..
+    } = accepted;
+    let handshake = tokio::select! {
+        handshake = context.credentials.accept(&mut stream) => handshake,
+        () = guard.closed() => return,
+    };
+    // Only peers that have not authenticated themselves are limited.
+    drop(guard);
+    let (identity, purpose) = match handshake {
         Ok(accepted) => accepted,
         Err(error) => {
             count_refusal(&context, &error);
@@ -136,7 +148,8 @@
         .max_send_buf_size(pool::STREAM_WINDOW_BYTES as usize)
         .max_concurrent_streams(4096);
     let in_flight = context.drain.in_flight();
-    let (stream, written) = counted_stream::CountedStream::new(stream);
+    let written = counted_stream::WrittenBytes::default();
+    let stream = counted_stream::CountedStream::new(stream, written.clone());
     let connection = server.serve_connection(rt::TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let served = tokio::select! {
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -12,8 +12,11 @@
 
 use hazeltiller_catalogue::{change, state as catalogue_state};
 use hazeltiller_engine::{
-    calls::transit, event, ledger, membership as engine_membership, reducer, replication,
-    routing::placement, settings as engine_settings, timeline as engine_timeline,
+    calls::transit,
+    connections::{self, memory},
+    event, ledger, membership as engine_membership, reducer, replication,
+    routing::placement,
+    settings as engine_settings, timeline as engine_timeline,
 };
 use hazeltiller_store::{
     claims as store_claims, error as store_error, file as store_file, notices as store_notices,
@@ -28,9 +31,9 @@
 };
 
 use crate::{
-    byte_counts, callers, claims_task, critical_tasks, dialect, drain, engine_actor, handshake,
-    link_shares, links, metrics, notices_task, observer, operators, owner, peers, pool, probe,
-    process_limits, readiness, settings, store_task, targets, timeline, trace,
+    byte_counts, callers, claims_task, client_connections, critical_tasks, dialect, drain,
+    engine_actor, handshake, link_shares, links, metrics, notices_task, observer, operators, owner,
+    peers, pool, probe, process_limits, readiness, settings, store_task, targets, timeline, trace,
 };
 
 /// Interval of the tick events that drive the timers of the reducer.
@@ -90,6 +93,8 @@
     pub nodes: pool::NodePool,
     /// Measured transit times of offers from other nodes.
     pub transit: transit::TransitMeterTable,
+    /// Connections of clients to all listeners.
+    pub connections: client_connections::ConnectionRegistry,
     /// The link that this node's responses share.
     pub link: link_shares::LinkShares,
     /// Connections to this node's targets.
@@ -108,6 +113,8 @@
     pub places: owner::PlaceTable,
     /// Limits and timeouts of requests.
     pub request_tunables: engine_settings::RequestTunables,
+    /// Limits and timeouts of the connections of clients.
+    pub connection_tunables: engine_settings::ConnectionTunables,
     /// Maximum size of a stored response to a claimed request, in bytes.
     pub max_stored_response_bytes: u64,
     /// Progress of the graceful shutdown.
@@ -302,7 +309,10 @@
     };
     let (in_force_sender, in_force) = watch::channel(Arc::clone(&state.dissemination.in_force));
     let metrics = Arc::<metrics::ProcessMetrics>::default();
-    process_limits::ProcessLimits::read(&settings.installation).report(&metrics);
+    let limits = process_limits::ProcessLimits::read(&settings.installation);
+    limits.report(&metrics);
+    let connections = open_registry(settings, &limits);
+    tokio::spawn(connections.clone().review());
     let clock = timeline::HybridClock::default();
     let timeline = timeline::Timeline::new(
         settings.instance.clone(),
@@ -381,6 +391,7 @@
         bytes,
         nodes: pool::NodePool::new(credentials.clone()),
         transit: transit::TransitMeterTable::default(),
+        connections,
         link,
         targets: pool::TargetPool::default(),
         dialects: options.dialects,
@@ -390,6 +401,7 @@
         answer_times: placement::AnswerTimeTable::default(),
         places: owner::PlaceTable::default(),
         request_tunables: settings.tunables.requests.clone(),
+        connection_tunables: settings.tunables.connections.clone(),
         max_stored_response_bytes: settings.tunables.ledger.answer_bytes,
         drain: drain::DrainState::default(),
         credentials,
@@ -401,6 +413,22 @@
     }))
 }
 
+/// Returns the registry of the connections of clients, with the limits that apply to this process.
+fn open_registry(
+    settings: &settings::ProcessSettings,
+    limits: &process_limits::ProcessLimits,
+) -> client_connections::ConnectionRegistry {
+    let tunables = &settings.tunables.connections;
+    let main = if settings.has_role(settings::ProcessRole::Node) {
+        connections::ListenerKind::Callers
+    } else {
+        connections::ListenerKind::Operators
+    };
+    let limits = connections::ConnectionLimits::new(tunables, limits.descriptors, main);
+    let policy = memory::MemoryPolicy::new(tunables);
+    client_connections::ConnectionRegistry::new(limits, policy)
+}
+
 /// Opens the data folder of a control. In a self-healing group a damaged one is replaced by that of a
 /// new replica, which has no vote: the group gives it one once it holds the whole log. Without
 /// somebody to replace the folder, a process that refuses it would be missing from its group for good.
--- a/crates/daemon/src/readiness.rs
+++ b/crates/daemon/src/readiness.rs
@@ -4,11 +4,11 @@
 //! A node is ready while it has a catalogue and is not shutting down. All paths return the same
 //! response, so that any health checker can be used.
 
-use std::{convert::Infallible, sync::Arc};
+use std::{future, sync::Arc};
 
+use hazeltiller_engine::connections;
 use hazeltiller_units::{code, ids};
-use hyper::{Request, Response, StatusCode, body::Incoming, server::conn::http1, service};
-use hyper_util::rt;
+use hyper::{Response, StatusCode};
 use serde::Serialize;
 use tokio::net::TcpListener;
 
@@ -27,19 +27,13 @@
 /// Serves the listener until the process stops.
 pub async fn serve(context: Arc<process::ProcessContext>, listener: TcpListener) {
     loop {
-        let (stream, _from) = listener::accept(&listener, "ready").await;
+        let kind = connections::ListenerKind::Readiness;
+        let accepted = listener::accept(&context.connections, &listener, kind).await;
         let context = Arc::clone(&context);
-        let service = service::service_fn(move |_request: Request<Incoming>| {
-            let response = respond(&context);
-            async move { Ok::<_, Infallible>(response) }
-        });
         tokio::spawn(async move {
-            let served = http1::Builder::new()
-                .serve_connection(rt::TokioIo::new(stream), service)
-                .await;
-            if let Err(error) = served {
-                log::debug!("readiness connection failed: {error}");
-            }
+            let tunables = &context.connection_tunables;
+            let handler = |_request| future::ready(respond(&context));
+            listener::serve_requests(accepted, tunables, handler).await;
         });
     }
 }
--- a/crates/daemon/src/targets.rs
+++ b/crates/daemon/src/targets.rs
@@ -1,13 +1,11 @@
 //! The target listener: targets announce themselves here and renew their lease periodically.
 
-use std::{convert::Infallible, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
-use hazeltiller_engine::{event, membership, settings};
+use hazeltiller_engine::{connections, event, membership, settings};
 use hazeltiller_units::code;
 use hazeltiller_wire::membership as wire;
-use http_body_util::{BodyExt, Limited};
-use hyper::{Request, Response, StatusCode, body::Incoming, server::conn::http1, service};
-use hyper_util::rt;
+use hyper::{Request, Response, StatusCode, body::Incoming};
 use tokio::{net::TcpListener, time};
 
 use crate::{dialect, http, listener, process};
@@ -22,19 +20,13 @@
 /// Accepts connections until the process stops.
 pub async fn serve(context: Arc<process::ProcessContext>, listener: TcpListener) {
     loop {
-        let (stream, _from) = listener::accept(&listener, "target").await;
+        let kind = connections::ListenerKind::Targets;
+        let accepted = listener::accept(&context.connections, &listener, kind).await;
         let context = Arc::clone(&context);
-        let service = service::service_fn(move |request| {
-            let context = Arc::clone(&context);
-            async move { Ok::<_, Infallible>(respond(&context, request).await) }
-        });
         tokio::spawn(async move {
-            let served = http1::Builder::new()
-                .serve_connection(rt::TokioIo::new(stream), service)
-                .await;
-            if let Err(error) = served {
-                log::debug!("connection from a target ended with an error: {error}");
-            }
+            let tunables = &context.connection_tunables;
+            let handler = |request| respond(&context, request);
+            listener::serve_requests(accepted, tunables, handler).await;
         });
     }
 }
@@ -45,8 +37,9 @@
 ) -> Response<http::StreamBody> {
     let dialect = &context.dialects.targets;
     let (parts, body) = request.into_parts();
-    let body = match Limited::new(body, MAX_ANNOUNCEMENT_BYTES).collect().await {
-        Ok(body) => body.to_bytes(),
+    let max_time = settings::millis(context.connection_tunables.body_ms);
+    let body = match http::collect_body(body, MAX_ANNOUNCEMENT_BYTES, max_time).await {
+        Ok(body) => body,
         Err(error) => return refuse_unreadable(dialect.as_ref(), error.to_string()),
     };
     let result = dialect.read(&parts.method, parts.uri.path(), &body);
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod allowance;
 pub mod bandwidth;
 pub mod calls;
+pub mod connections;
 pub mod dependencies;
 pub mod dissemination;
 pub mod event;
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -397,6 +397,29 @@
         turn_ms = 4, 1..=1000;
     }
 
+    /// Tunables of the connections that clients open.
+    ConnectionTunables in connections {
+        /// Most connections of the listener that most clients use, in percent of the descriptors of
+        /// the process: that of callers, at a control that of operators. Other listeners have smaller
+        /// shares. With 0 no listener has a limit.
+        main_percent = 33, 0..=90;
+        /// Most bytes that are held for all clients: heads and bodies of requests, and responses that
+        /// were not written yet. Beyond three quarters of them new requests are refused, except the
+        /// first one of a connection. 0 sets no limit.
+        held_bytes = 67_108_864, 0..=1_099_511_627_776;
+        /// Bytes a second of its responses that a client reads at least; one that reads fewer is
+        /// closed when memory or connections run short, or after sixty times `slow_ms`. 0 closes
+        /// none.
+        slow_rate = 1024, 0..=1_048_576;
+        /// Time over which that rate is averaged, in milliseconds.
+        slow_ms = 5000, 100..=600_000;
+        /// Time without a whole request head after which a connection of a target, an operator or a
+        /// readiness check is closed, in milliseconds.
+        head_ms = 60_000, 100..=600_000;
+        /// Time in which a target or an operator sends the body of a request, in milliseconds.
+        body_ms = 60_000, 100..=600_000;
+    }
+
     /// Tunables of the timeline.
     TimelineTunables in timeline {
         /// Number of events that are kept, not counting events of calls.
--- a/crates/units/src/code.rs
+++ b/crates/units/src/code.rs
@@ -97,6 +97,8 @@
     TargetLimited = 3026, "every target that could take the call is at the rate limit that it named", "retry after the time given in the response";
     DependencySaturated = 3028, "a service that runs of the route call has no room for their calls", "retry after the time given in the response";
     CatalogueOutdated = 3029, "no route or key of the catalogue held matches, and a later catalogue is known to exist", "retry after the time given in the response";
+    MemoryExceeded = 3030, "the node holds too much for its callers to serve the request", "retry after the time given in the response";
+    BodyTooSlow = 3031, "the request's body came too slowly", "send the request again over a faster link";
     QuorumMissing = 4001, "no majority of the control group can be reached", "resend the change when a majority of the controls is reachable";
     OutcomeUnknown = 4002, "the change may or may not have been accepted", "resend it with the same change id";
     LeaderUnknown = 4003, "the control group has no leader at the moment", "resend the change shortly";
