One account of what is held for callers

What callers saw: 150 connections with requests sent ahead and responses unread had a node hold 167 to 429 MB on a machine of 96 MB, where it would have been killed; beside large heads an ordinary caller was not answered within a minute.

Cause: each connection holds up to 16 requests with their heads, bodies and whole responses, and 64 KiB read ahead. Each of these is bounded, the sum over connections was not. Each pipelined request had a task of 12 KB besides, also one that was refused.

Change: what a request and its response hold is charged to its connection, from its head until the last byte is written (frames carry their charge, so that the buffers of the HTTP library count too). A request is refused before its task exists and its body is read: 503, HZ3030, not-run, `Retry-After: 1`, and the connection closes. What has begun is finished.

Why it works: no byte is kept for a caller that is not on the account, apart from 16 KiB a connection, and those are limited by number.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -3,6 +3,8 @@
 
 use std::{
     convert::Infallible,
+    future,
+    pin::Pin,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -44,6 +46,10 @@
 /// Start of the HTTP/2 connection preface. No valid HTTP/1.1 request starts with these bytes.
 const HTTP2_PREFACE: &[u8] = b"PRI * HTTP/2.0";
 
+/// Bytes of memory that a request takes besides its head and its body, until its response is written:
+/// its task, and its state in the engine.
+const REQUEST_OVERHEAD_BYTES: u64 = 16_384;
+
 /// Accepts connections until the drain reaches [`drain::DrainPhase::Closing`]. A node that is
 /// leaving still accepts them.
 pub async fn serve(context: Arc<process::ProcessContext>, listener: TcpListener) {
@@ -85,10 +91,14 @@
     let reader = http1::CallerStream::new(preface.freeze(), reader);
     if is_http2 {
         let stream = tokio::io::join(reader, writer);
-        serve_http2(&context, stream, uses_link, &limits).await;
+        serve_http2(&context, stream, connection, uses_link, &limits).await;
     } else {
         let drain = context.drain.clone();
-        let service = Arc::new(CallerHandler { context, uses_link });
+        let service = Arc::new(CallerHandler {
+            context,
+            connection: connection.clone(),
+            uses_link,
+        });
         http1::serve(reader, writer, limits, service, drain).await;
     }
     drop(in_flight_guard);
@@ -113,28 +123,31 @@
 async fn serve_http2(
     context: &Arc<process::ProcessContext>,
     stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    connection: &client_connections::ClientConnection,
     uses_link: bool,
     limits: &http1::ConnectionLimits,
 ) {
-    let shared = Arc::clone(context);
+    let (shared, client) = (Arc::clone(context), connection.clone());
     let service = service::service_fn(move |request: Request<Incoming>| {
         let context = Arc::clone(&shared);
-        async move {
-            let request = request.map(http::stream_body);
-            Ok::<_, Infallible>(serve_over_link(context, uses_link, request, None).await)
-        }
+        let admitted = admit(&context, &client, request.map(http::stream_body));
+        let served: Pin<Box<dyn Future<Output = _> + Send>> = match admitted {
+            Ok(admitted) => Box::pin(serve_admitted(context, admitted, uses_link, None)),
+            Err(refused) => Box::pin(future::ready(*refused)),
+        };
+        async move { Ok::<_, Infallible>(served.await) }
     });
     let mut server = http2::Builder::new(rt::TokioExecutor::new());
     server
         .timer(rt::TokioTimer::new())
         .max_header_list_size(limits.max_head_bytes as u32);
-    let connection = server.serve_connection(rt::TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
+    let serving = server.serve_connection(rt::TokioIo::new(stream), service);
+    let mut serving = std::pin::pin!(serving);
     let served = tokio::select! {
-        served = connection.as_mut() => served,
+        served = serving.as_mut() => served,
         () = context.drain.wait_for_phase(drain::DrainPhase::Closing) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            serving.as_mut().graceful_shutdown();
+            serving.await
         }
     };
     if let Err(error) = served {
@@ -163,17 +176,32 @@
 /// Handles the requests of an HTTP/1.1 connection.
 struct CallerHandler {
     context: Arc<process::ProcessContext>,
+    connection: client_connections::ClientConnection,
     uses_link: bool,
 }
 
 impl http1::CallHandler for CallerHandler {
-    async fn serve(
+    type Admitted = AdmittedRequest;
+    type Reservation = client_connections::HeldBytes;
+
+    fn admit(
         &self,
         request: http1::CallRequest,
+    ) -> Result<AdmittedRequest, Box<http1::CallResponse>> {
+        admit(&self.context, &self.connection, request)
+    }
+
+    async fn serve(
+        &self,
+        admitted: AdmittedRequest,
         position: Arc<http1::PipelinePosition>,
     ) -> http1::CallResponse {
         let context = Arc::clone(&self.context);
-        serve_over_link(context, self.uses_link, request, Some(position)).await
+        serve_admitted(context, admitted, self.uses_link, Some(position)).await
+    }
+
+    fn reserve(&self, bytes: u64) -> Option<client_connections::HeldBytes> {
+        self.connection.admit(bytes)
     }
 }
 
@@ -185,31 +213,97 @@
     }
 }
 
-async fn serve_over_link(
+/// A request whose memory is on the account of its connection.
+struct AdmittedRequest {
+    request: http1::CallRequest,
+    connection: client_connections::ClientConnection,
+    open: client_connections::OpenRequest,
+    held: client_connections::HeldBytes,
+}
+
+/// Admits a request unless too much is held for callers. The error is the response that refuses it.
+fn admit(
+    context: &process::ProcessContext,
+    connection: &client_connections::ClientConnection,
+    request: http1::CallRequest,
+) -> Result<AdmittedRequest, Box<http1::CallResponse>> {
+    let open = connection.begin_request();
+    let needed_bytes = needed_bytes(&context.request_tunables, &request);
+    match connection.admit(needed_bytes) {
+        Some(held) => Ok(AdmittedRequest {
+            request,
+            connection: connection.clone(),
+            open,
+            held,
+        }),
+        None => Err(Box::new(refuse_for_memory(context, &request))),
+    }
+}
+
+/// Serves a request. What its response holds is charged to its connection until it is written.
+async fn serve_admitted(
     context: Arc<process::ProcessContext>,
+    admitted: AdmittedRequest,
     uses_link: bool,
-    request: http1::CallRequest,
     position: Option<Arc<http1::PipelinePosition>>,
 ) -> http1::CallResponse {
+    let AdmittedRequest {
+        request,
+        connection,
+        open,
+        held,
+    } = admitted;
     let link = context.link.clone();
-    let response = serve_request(context, request, position.as_deref()).await;
-    if uses_link {
+    let max_held_bytes = context.request_tunables.answer_hold_bytes;
+    let response = serve_request(context, request, held, position.as_deref()).await;
+    let response = if uses_link {
         link.send(response, None)
     } else {
         response
-    }
+    };
+    let held = connection.hold(REQUEST_OVERHEAD_BYTES);
+    let charge =
+        |body| client_connections::ChargedBody::new(body, open, max_held_bytes).beside(held);
+    response.map(|body| charge(body).boxed_unsync())
+}
+
+/// Returns the bytes that a request holds until its response comes: its head, of which each attempt
+/// has a copy, and what is kept of its body.
+fn needed_bytes(tunables: &engine_settings::RequestTunables, request: &http1::CallRequest) -> u64 {
+    let target_bytes = request
+        .uri()
+        .path_and_query()
+        .map_or(0, |path| path.as_str().len());
+    let head_bytes = http::headers_bytes(request.headers()) + target_bytes as u64;
+    let body_bytes = match request.body().size_hint().upper() {
+        Some(bytes) => bytes.min(tunables.replay_bytes),
+        None => tunables.replay_bytes,
+    };
+    REQUEST_OVERHEAD_BYTES + 2 * head_bytes + body_bytes
+}
+
+fn refuse_for_memory(
+    context: &process::ProcessContext,
+    request: &http1::CallRequest,
+) -> http1::CallResponse {
+    let dialect = &context.dialects.calls;
+    let head = dialect.read_head(request.headers()).ok();
+    let id = head.and_then(|head| head.request);
+    let id = id.unwrap_or_else(|| context.request_ids.new_id());
+    dialect.refuse(&client_connections::memory_refusal(), &id)
 }
 
 async fn serve_request(
     context: Arc<process::ProcessContext>,
     request: http1::CallRequest,
+    held: client_connections::HeldBytes,
     position: Option<&http1::PipelinePosition>,
 ) -> http1::CallResponse {
     let dialect = Arc::clone(&context.dialects.calls);
     let head = dialect.read_head(request.headers());
     let supplied_id = head.as_ref().ok().and_then(|head| head.request.clone());
     let id = supplied_id.unwrap_or_else(|| context.request_ids.new_id());
-    let served = match read_request(&context, id.clone(), request, head).await {
+    let served = match read_request(&context, id.clone(), request, held, head).await {
         Ok(call) if call.is_claimable() => call.serve_detached().await,
         Ok(call) => call.serve(&AtomicBool::new(false)).await,
         Err(refusal) => Err(refusal),
@@ -280,12 +374,14 @@
     arrival: calls::CallArrival,
     parts: hyper::http::request::Parts,
     source: replay::BodySource,
+    _held: client_connections::HeldBytes,
 }
 
 async fn read_request(
     context: &Arc<process::ProcessContext>,
     id: ids::RequestId,
     request: http1::CallRequest,
+    held: client_connections::HeldBytes,
     head: Result<dialect::CallHead, dialect::HeaderError>,
 ) -> Result<CallerRequest, wire::CallRefusal> {
     let malformed = || wire::CallRefusal::not_run(code::ResultCode::RequestMalformed);
@@ -334,6 +430,7 @@
         arrival,
         parts,
         source,
+        _held: held,
     })
 }
 
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -145,6 +145,14 @@
     headers.contains_key(header::CONTENT_LENGTH) && headers.contains_key(header::TRANSFER_ENCODING)
 }
 
+/// Returns about the number of bytes that headers hold in memory.
+pub fn headers_bytes(headers: &hyper::HeaderMap) -> u64 {
+    let line_bytes = |(name, value): (&header::HeaderName, &header::HeaderValue)| {
+        name.as_str().len() + value.len()
+    };
+    headers.iter().map(line_bytes).sum::<usize>() as u64
+}
+
 /// Removes hop-by-hop headers, which apply to one connection only. `TE: trailers` is retained.
 pub fn strip_hop_by_hop_headers(headers: &mut hyper::HeaderMap) {
     let accepts_trailers =
--- a/crates/daemon/src/http1.rs
+++ b/crates/daemon/src/http1.rs
@@ -45,6 +45,8 @@
 /// Bytes to buffer while the response queue is full. Reading on detects that the caller
 /// disconnects while its next requests wait.
 const READ_AHEAD_BYTES: usize = 65_536;
+/// Bytes that a connection may buffer without counting them as held for its caller.
+const UNCOUNTED_BYTES: usize = 16_384;
 /// Time allowed for a caller to close its connection after the last response.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Bytes of a body that are discarded once its handler has responded, and on a connection that is
@@ -74,12 +76,24 @@
 
 /// Handles the requests of a connection.
 pub trait CallHandler: Send + Sync + 'static {
+    /// A request that is to be handled.
+    type Admitted: Send;
+    /// Bytes that are counted as held until it is dropped.
+    type Reservation: Send;
+
+    /// Admits a request whose head was read. The error is the response that refuses it, after which
+    /// the connection closes: the rest of its body is not read.
+    fn admit(&self, request: CallRequest) -> Result<Self::Admitted, Box<CallResponse>>;
+
     /// Handles one request. The future is dropped if the caller disconnects.
     fn serve(
         &self,
-        request: CallRequest,
+        admitted: Self::Admitted,
         position: Arc<PipelinePosition>,
     ) -> impl Future<Output = CallResponse> + Send;
+
+    /// Counts bytes that the connection is about to read ahead. Returns `None` if it may not.
+    fn reserve(&self, bytes: u64) -> Option<Self::Reservation>;
 }
 
 /// The task that handles a request. It is aborted on drop, that is when its connection ends.
@@ -102,6 +116,11 @@
         position: Arc<PipelinePosition>,
         options: response_writer::ResponseOptions,
     },
+    /// The response to a request that was not admitted, after which the connection closes.
+    Refused {
+        response: Box<CallResponse>,
+        options: response_writer::ResponseOptions,
+    },
     /// A response with this status, after which the connection closes: no further request can be
     /// read from it.
     Error(StatusCode),
@@ -131,6 +150,7 @@
         responses,
         progress: &progress,
         pipeline: Arc::default(),
+        held: None,
     };
     let writing = response_writer::ResponseWriter::new(writer, queue, drain, &progress);
     let mut write = std::pin::pin!(writing.run());
@@ -196,7 +216,7 @@
 }
 
 /// Reads the requests of a connection and dispatches them.
-struct ConnectionReader<'a, R, S> {
+struct ConnectionReader<'a, R, S: CallHandler> {
     reader: R,
     buffer: BytesMut,
     limits: ConnectionLimits,
@@ -205,6 +225,8 @@
     responses: mpsc::Sender<QueuedResponse>,
     progress: &'a ConnectionProgress,
     pipeline: Arc<pipeline::PipelineState>,
+    /// What is counted for the buffer while it is large.
+    held: Option<S::Reservation>,
 }
 
 impl<R: AsyncRead + CloseWatch + Unpin, S: CallHandler> ConnectionReader<'_, R, S> {
@@ -241,6 +263,9 @@
             } else {
                 time::Instant::now() + self.limits.idle_timeout
             };
+            if !self.count_buffer() {
+                return Err(self.enqueue_error(StatusCode::SERVICE_UNAVAILABLE).await);
+            }
             let is_idle = self.progress.pending.load(Ordering::Relaxed) == 0;
             self.buffer.reserve(MIN_READ_BUFFER_BYTES);
             let closing = self.drain.clone();
@@ -278,9 +303,17 @@
         let (sender, body) = body::open(head.framing, &mut self.buffer);
         let options = head.options;
         let request = Request::from_parts(head.parts, body);
+        let admitted = match self.service.admit(request) {
+            Ok(admitted) => admitted,
+            Err(response) => {
+                let refused = QueuedResponse::Refused { response, options };
+                let end = self.enqueue(refused).await.err();
+                return Some(end.unwrap_or(ReadStopReason::Finished));
+            }
+        };
         let service = Arc::clone(&self.service);
         let own_position = Arc::clone(&position);
-        let task = tokio::spawn(async move { service.serve(request, own_position).await });
+        let task = tokio::spawn(async move { service.serve(admitted, own_position).await });
         let queued = QueuedResponse::Served {
             request: RequestTask(task),
             position,
@@ -321,6 +354,17 @@
         }
     }
 
+    /// Counts the buffer as held if it is large. Returns whether more may be read into it.
+    fn count_buffer(&mut self) -> bool {
+        if self.buffer.len() <= UNCOUNTED_BYTES {
+            self.held = None;
+        } else if self.held.is_none() {
+            self.held = self.service.reserve(READ_AHEAD_BYTES as u64);
+            return self.held.is_some();
+        }
+        true
+    }
+
     async fn enqueue_error(&mut self, status: StatusCode) -> ReadStopReason {
         match self.enqueue(QueuedResponse::Error(status)).await {
             Ok(()) => ReadStopReason::Finished,
@@ -344,7 +388,7 @@
 
     /// Reads into the buffer. Once it is full, the connection is only watched for its end.
     async fn read_ahead(&mut self) -> Result<(), ReadStopReason> {
-        if self.buffer.len() >= READ_AHEAD_BYTES {
+        if self.buffer.len() >= READ_AHEAD_BYTES || !self.count_buffer() {
             self.reader.closed().await;
             return Err(ReadStopReason::Disconnected);
         }
--- a/crates/daemon/src/http1/response_writer.rs
+++ b/crates/daemon/src/http1/response_writer.rs
@@ -13,6 +13,9 @@
 use super::{CallResponse, ConnectionProgress, QueuedResponse, RequestTask};
 use crate::{drain, http};
 
+/// Seconds after which the caller of a request that was not read may return.
+const RETRY_AFTER_S: u32 = 1;
+
 /// Properties of a request that determine how its response is encoded.
 #[derive(Debug, Clone, Copy)]
 #[expect(
@@ -81,6 +84,14 @@
                     self.write_error(status).await;
                     ConnectionState::Closed
                 }
+                QueuedResponse::Refused { response, options } => {
+                    let options = ResponseOptions {
+                        closes_connection: true,
+                        ..options
+                    };
+                    self.write_response(*response, options).await;
+                    ConnectionState::Closed
+                }
                 QueuedResponse::Served {
                     request,
                     position,
@@ -125,6 +136,10 @@
     async fn write_error(&mut self, status: StatusCode) {
         let mut response = Response::new(http::full_body(""));
         *response.status_mut() = status;
+        if status == StatusCode::SERVICE_UNAVAILABLE {
+            let seconds = header::HeaderValue::from(RETRY_AFTER_S);
+            response.headers_mut().insert(header::RETRY_AFTER, seconds);
+        }
         let options = ResponseOptions {
             is_head: false,
             is_http10: false,
@@ -149,6 +164,8 @@
         set_framing_headers(&mut parts.headers, framing, closes_connection);
         self.put_response_head(&parts);
         let mut wrote_last_chunk = false;
+        // What is charged for the data of a frame ends when it is dropped.
+        let mut unwritten = None;
         let mut length_left = match framing {
             ResponseFraming::Length(length) => Some(length),
             _ => None,
@@ -169,6 +186,7 @@
                     };
                     *left = rest;
                 }
+                drop(unwritten.replace(frame.data_ref().cloned()));
                 wrote_last_chunk |= self.put_frame(frame, framing, options);
                 let is_ended = body.is_end_stream();
                 if !is_ended && self.flush().await == ConnectionState::Closed {
@@ -180,6 +198,7 @@
             self.buffer.put_slice(b"0\r\n\r\n");
         }
         let state = self.flush().await;
+        drop(unwritten);
         let is_short = length_left.is_some_and(|left| left > 0);
         if closes_connection || is_short {
             ConnectionState::Closed
--- a/crates/daemon/src/process_limits.rs
+++ b/crates/daemon/src/process_limits.rs
@@ -6,8 +6,6 @@
 
 use crate::{metrics, settings::installation};
 
-const BYTES_PER_MB: f64 = 1e6;
-
 /// Limits on a process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ProcessLimits {
@@ -26,7 +24,9 @@
             .map_or(u64::MAX, |count| count as u64);
         let memory = installation.memory_mb;
         Self {
-            memory: memory.map(|megabytes| measure::ByteSize((megabytes * BYTES_PER_MB) as u64)),
+            memory: memory.map(|megabytes| {
+                measure::ByteSize((megabytes * installation::BYTES_PER_MB) as u64)
+            }),
             descriptors: allowed.min(given),
         }
     }
--- a/crates/daemon/src/settings/installation.rs
+++ b/crates/daemon/src/settings/installation.rs
@@ -49,6 +49,10 @@
 /// Divisor of the tolerated excess of an organisation's requests that gives what a home may grant
 /// at once: a few homes may follow each other within one window.
 const ALLOWANCE_SLACK_DIVISOR: f64 = 4.0;
+/// Fraction of the process's memory that may be held for clients. The rest is for the catalogue, the
+/// members, connections to targets and peers, and what the allocator keeps.
+const HELD_FRACTION: f64 = 0.25;
+pub(crate) const BYTES_PER_MB: f64 = 1e6;
 /// Time in which all peers learn that a node is leaving: a few rounds of gossip.
 const LEAVE_GOSSIP_MS: u64 = 700;
 
@@ -106,6 +110,10 @@
         if let Some(link_mbps) = self.link_mbps {
             tunables.bandwidth.link_kbits = (link_mbps * KBITS_PER_MBIT) as u64;
         }
+        if let Some(memory_mb) = self.memory_mb {
+            let held_bytes = memory_mb * BYTES_PER_MB * HELD_FRACTION;
+            tunables.connections.held_bytes = held_bytes as u64;
+        }
         if let Some(share) = self.canary_share {
             let trial = (share * TRIAL_FRACTION * PERMILLE) as u64;
             tunables.rollout.trial_permille = trial.max(1);
--- a/crates/daemon/src/settings/schema.rs
+++ b/crates/daemon/src/settings/schema.rs
@@ -274,7 +274,7 @@
             SettingKind::Decimal(installation::MEMORY_RANGE_MB),
             false,
             "unknown",
-            "Memory that the process may use, in megabytes.",
+            "Memory that the process may use, in megabytes; connections.held_bytes is derived from it.",
         ),
         row(
             "installation.descriptors",
--- a/tests/all/pipelining.rs
+++ b/tests/all/pipelining.rs
@@ -23,6 +23,9 @@
     sync::mpsc,
 };
 
+/// Every request is admitted.
+type AdmitResult = Result<http1::CallRequest, Box<http1::CallResponse>>;
+
 const LIMITS: http1::ConnectionLimits = http1::ConnectionLimits {
     max_head_bytes: 8192,
     max_headers: 64,
@@ -58,6 +61,17 @@
 struct FixedResponse(FrameList, Option<u64>);
 
 impl http1::CallHandler for FixedResponse {
+    type Admitted = http1::CallRequest;
+    type Reservation = ();
+
+    fn admit(&self, request: http1::CallRequest) -> AdmitResult {
+        Ok(request)
+    }
+
+    fn reserve(&self, _bytes: u64) -> Option<()> {
+        Some(())
+    }
+
     async fn serve(
         &self,
         _request: http1::CallRequest,
@@ -211,6 +225,17 @@
 struct BodyKeeper(mpsc::UnboundedSender<http::StreamBody>);
 
 impl http1::CallHandler for BodyKeeper {
+    type Admitted = http1::CallRequest;
+    type Reservation = ();
+
+    fn admit(&self, request: http1::CallRequest) -> AdmitResult {
+        Ok(request)
+    }
+
+    fn reserve(&self, _bytes: u64) -> Option<()> {
+        Some(())
+    }
+
     async fn serve(
         &self,
         request: http1::CallRequest,
