Bound what an HTTP/2 connection of a caller holds

What callers saw: 40 HTTP/2 connections whose clients grant no window, or read nothing, had a node hold 121 to 187 MB on a machine of 96 MB. Connections without a stream stayed for ever.

Cause: such a connection ran on the library's defaults: 200 streams, windows of 1 MiB for each stream, a send buffer of 400 KB a stream, no idle time.

Change: 100 streams, 64 KiB a stream for its window and its send buffer, 256 KiB of unread bodies a connection. A connection without a stream for the listener's `idle_ms` is shut down gracefully, and closed a second later if its client does not read.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -46,6 +46,15 @@
 /// Start of the HTTP/2 connection preface. No valid HTTP/1.1 request starts with these bytes.
 const HTTP2_PREFACE: &[u8] = b"PRI * HTTP/2.0";
 
+/// Bytes of a request's body that an HTTP/2 stream takes before its handler reads them, and of a
+/// response that it buffers.
+const STREAM_WINDOW_BYTES: u32 = 65_535;
+/// Bytes of all bodies that an HTTP/2 connection takes before they are read.
+const CONNECTION_WINDOW_BYTES: u32 = 262_144;
+/// Most streams of an HTTP/2 connection.
+const MAX_STREAMS: u32 = 100;
+/// Time in which an idle HTTP/2 connection is shut down gracefully.
+const IDLE_SHUTDOWN_TIME: Duration = Duration::from_secs(1);
 /// Bytes of memory that a request takes besides its head and its body, until its response is written:
 /// its task, and its state in the engine.
 const REQUEST_OVERHEAD_BYTES: u64 = 16_384;
@@ -140,7 +149,11 @@
     let mut server = http2::Builder::new(rt::TokioExecutor::new());
     server
         .timer(rt::TokioTimer::new())
-        .max_header_list_size(limits.max_head_bytes as u32);
+        .max_header_list_size(limits.max_head_bytes as u32)
+        .initial_stream_window_size(STREAM_WINDOW_BYTES)
+        .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+        .max_send_buf_size(STREAM_WINDOW_BYTES as usize)
+        .max_concurrent_streams(MAX_STREAMS);
     let serving = server.serve_connection(rt::TokioIo::new(stream), service);
     let mut serving = std::pin::pin!(serving);
     let served = tokio::select! {
@@ -149,6 +162,12 @@
             serving.as_mut().graceful_shutdown();
             serving.await
         }
+        () = connection.wait_until_idle(limits.idle_timeout) => {
+            serving.as_mut().graceful_shutdown();
+            // A caller that does not read never acknowledges the shutdown.
+            let ended = time::timeout(IDLE_SHUTDOWN_TIME, serving).await;
+            ended.unwrap_or(Ok(()))
+        }
     };
     if let Err(error) = served {
         log::debug!("HTTP/2 connection from a caller ended with an error: {error}");
