Charge the bodies of operators' requests before they are read

What callers saw: 40 connections that each sent 8 MB of a change and then nothing had a control hold 344 MB on a machine of 96 MB.

Cause: each body was collected up to its own limit of 32 MiB, side by side and without a time.

Change: a request's body is charged to the account of its connection by the length that it declares, the largest one if it declares none, and refused with 503 and HZ3030 if it does not fit. A body has `connections.body_ms` to come.

Why it works: the sum is decided on before the first byte is read. Evidence: `operators::incomplete_changes` was red before and is green after (debug build, arm64, one run).

--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -14,11 +14,17 @@
 use hazeltiller_catalogue::change;
 use hazeltiller_engine::connections;
 use hazeltiller_units::{code, ids};
-use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+use hyper::{
+    Method, Request, Response, StatusCode,
+    body::{Body, Incoming},
+};
 use serde::Serialize;
 use tokio::net::TcpListener;
 
-use crate::{http, listener, process};
+use crate::{client_connections, http, listener, process};
+
+/// Bytes of memory that a request takes besides its body.
+const REQUEST_BYTES: u64 = 16_384;
 
 /// Response to a rejected request.
 #[derive(Debug, Serialize)]
@@ -38,12 +44,30 @@
         let (context, from) = (Arc::clone(&context), accepted.from);
         tokio::spawn(async move {
             let tunables = &context.connection_tunables;
-            let handler = |request| route(&context, from, request);
+            let connection = accepted.guard.connection().clone();
+            let handler = |request| serve_request(&context, &connection, from, request);
             listener::serve_requests(accepted, tunables, handler).await;
         });
     }
 }
 
+/// Serves a request unless its body does not fit into the memory that is left for clients.
+async fn serve_request(
+    context: &process::ProcessContext,
+    connection: &client_connections::ClientConnection,
+    from: SocketAddr,
+    request: Request<Incoming>,
+) -> Response<http::StreamBody> {
+    let body_bytes = request.body().size_hint().upper();
+    let body_bytes = body_bytes
+        .unwrap_or(u64::MAX)
+        .min(changes::MAX_CHANGE_BYTES as u64);
+    let Some(_held) = connection.admit(REQUEST_BYTES + body_bytes) else {
+        return http::refusal_response(&client_connections::memory_refusal());
+    };
+    route(context, from, request).await
+}
+
 /// Routes a request to the handler of its endpoint.
 async fn route(
     context: &process::ProcessContext,
--- a/crates/daemon/src/operators/changes.rs
+++ b/crates/daemon/src/operators/changes.rs
@@ -6,7 +6,6 @@
 use hazeltiller_engine::{replication, settings, timeline::TimelineEvent};
 use hazeltiller_units::{code, ids};
 use hazeltiller_wire::replication as wire;
-use http_body_util::{BodyExt, Limited};
 use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming, header};
 use serde::Serialize;
 use tokio::time;
@@ -15,7 +14,7 @@
 
 /// Maximum size of the body of a change, in bytes: a document of the maximum size, and as much for
 /// the entries that it is translated into.
-const MAX_CHANGE_BYTES: usize = 2 * hazeltiller_wire::document::MAX_DOCUMENT_BYTES;
+pub(super) const MAX_CHANGE_BYTES: usize = 2 * hazeltiller_wire::document::MAX_DOCUMENT_BYTES;
 const BEARER_PREFIX: &str = "Bearer ";
 
 /// An accepted change.
@@ -77,7 +76,7 @@
         Ok(author) => author,
         Err(code) => return refusal_response(code, Vec::new(), ids::CatalogueVersion::default()),
     };
-    let request: change::ChangeRequest = match read_body(request).await {
+    let request: change::ChangeRequest = match read_body(context, request).await {
         Ok(request) => request,
         Err(error) => return error.into_response(),
     };
@@ -164,14 +163,13 @@
 
 /// Reads and decodes a JSON body.
 pub(super) async fn read_body<T: serde::de::DeserializeOwned>(
+    context: &process::ProcessContext,
     request: Request<Incoming>,
 ) -> Result<T, BodyError> {
     let body_error = |status, message| BodyError { status, message };
-    let body = Limited::new(request.into_body(), MAX_CHANGE_BYTES);
-    let bytes = match body.collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) => return Err(body_error(StatusCode::BAD_REQUEST, error.to_string())),
-    };
+    let max_time = settings::millis(context.connection_tunables.body_ms);
+    let body = http::collect_body(request.into_body(), MAX_CHANGE_BYTES, max_time).await;
+    let bytes = body.map_err(|error| body_error(StatusCode::BAD_REQUEST, error.to_string()))?;
     serde_json::from_slice(&bytes)
         .map_err(|error| body_error(StatusCode::UNPROCESSABLE_ENTITY, error.to_string()))
 }
--- a/crates/daemon/src/operators/control.rs
+++ b/crates/daemon/src/operators/control.rs
@@ -30,7 +30,7 @@
         let message = "only the administrator changes the control group".into();
         return super::not_run_response(StatusCode::FORBIDDEN, code, message);
     }
-    let change: replication::GroupChange = match changes::read_body(request).await {
+    let change: replication::GroupChange = match changes::read_body(context, request).await {
         Ok(change) => change,
         Err(error) => return error.into_response(),
     };
--- a/crates/daemon/src/operators/revision.rs
+++ b/crates/daemon/src/operators/revision.rs
@@ -4,9 +4,8 @@
 use std::time::Duration;
 
 use hazeltiller_catalogue::{change, rollout};
-use hazeltiller_engine::replication;
+use hazeltiller_engine::{replication, settings};
 use hazeltiller_units::{code, ids};
-use http_body_util::{BodyExt, Limited};
 use hyper::{Request, Response, body::Incoming};
 
 use super::changes;
@@ -26,8 +25,9 @@
 ) -> Response<http::StreamBody> {
     let (parts, body) = request.into_parts();
     let path = parts.uri.path().to_owned();
-    let body = match Limited::new(body, MAX_BODY_BYTES).collect().await {
-        Ok(body) => body.to_bytes(),
+    let max_time = settings::millis(context.connection_tunables.body_ms);
+    let body = match http::collect_body(body, MAX_BODY_BYTES, max_time).await {
+        Ok(body) => body,
         Err(error) => {
             return dialect.refuse(&dialect::RequestError {
                 code: code::ResultCode::DocumentInvalid,
