Free the slot of a response that is hardly read before its deadline

What callers saw: a response that nobody reads kept its target's slot until five seconds after its deadline, however far away that was; as many such callers as there are slots kept out all others.

Cause: only silence after the deadline ended such a response, counted in frames.

Change: a response ends once its reader has taken less than 5 KB of it in five seconds although its target had more, before the deadline as well. A reader that waits for its target is not slow, and on a narrow link the turns of a large response come closer together than that.

Evidence: `http1::unread_large_responses` and `slow::single_bytes_read` answer the ordinary caller; both were green before too, since the route's deadline of five seconds hid the difference. `endless::unread_bodies` and the `streaming` tests pass. No test shows the case of a long deadline alone.

--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -514,7 +514,8 @@
         address: plan.address,
         guard,
         connection: Some(connection),
-        passed_frames: 0,
+        passed_bytes: 0,
+        is_awaited: false,
     };
     let body = response_body::ResponseBody::new(streamed, deadline);
     Response::from_parts(parts, body.boxed_unsync())
--- a/crates/daemon/src/owner/response_body.rs
+++ b/crates/daemon/src/owner/response_body.rs
@@ -1,5 +1,5 @@
 //! Body of a target's response while it is streamed. Its slot is freed when it ends or is dropped, and
-//! after its deadline also when nobody reads it.
+//! also when nobody reads it, or next to nothing of it.
 
 use std::{
     net::SocketAddr,
@@ -24,9 +24,11 @@
 use super::RunGuard;
 use crate::{http, pool};
 
-/// Time after the deadline without a read after which a response ends. On a narrow link a large
-/// response waits for its next turn for less.
-const UNREAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time over which the rate is averaged at which a response is read. On a narrow link a large response
+/// waits for its next turn for less.
+const READ_WINDOW: Duration = Duration::from_secs(5);
+/// Bytes that are read of a response within a window at least; fewer do not keep the slot.
+const MIN_WINDOW_BYTES: u64 = 5 * 1024;
 
 /// The deadline passed while the response body was being streamed.
 #[derive(Debug, Snafu)]
@@ -40,8 +42,10 @@
     pub(super) address: SocketAddr,
     pub(super) guard: RunGuard,
     pub(super) connection: Option<pool::TargetConnection>,
-    /// Number of frames passed on.
-    pub(super) passed_frames: u64,
+    /// Number of bytes passed on.
+    pub(super) passed_bytes: u64,
+    /// Whether its reader waits for more bytes of the target.
+    pub(super) is_awaited: bool,
 }
 
 impl OpenResponse {
@@ -77,43 +81,45 @@
     timeout: Option<ResponseTimeout>,
 }
 
-/// Ends a response that is not complete when its deadline passes.
+/// Ends a response that is not complete when its deadline passes, or when it is not read.
 struct ResponseTimeout {
     deadline: Pin<Box<time::Sleep>>,
     unread: JoinHandle<()>,
 }
 
 impl ResponseBody {
-    /// Passes a response on. After `deadline`, if there is one, it ends as soon as its target has
-    /// nothing to pass on, or once nobody reads it.
+    /// Passes a response on. With a deadline it ends once nobody reads it, and after the deadline also
+    /// as soon as its target has nothing to pass on.
     pub(super) fn new(response: OpenResponse, deadline: Option<Instant>) -> Self {
         let response = Arc::new(Mutex::new(Some(response)));
         let timeout = deadline.map(|deadline| ResponseTimeout {
             deadline: Box::pin(time::sleep_until(deadline)),
-            unread: tokio::spawn(end_unread(Arc::downgrade(&response), deadline)),
+            unread: tokio::spawn(end_unread(Arc::downgrade(&response))),
         });
         Self { response, timeout }
     }
 }
 
-/// Ends a response once none of it has been read for `UNREAD_TIMEOUT` after its deadline.
-async fn end_unread(held: Weak<HeldResponse>, deadline: Instant) {
-    time::sleep_until(deadline).await;
-    let mut last_frames = None;
+/// Ends a response once its reader has taken next to nothing of it for a window, although the target
+/// had more.
+async fn end_unread(held: Weak<HeldResponse>) {
+    let mut last = None;
     loop {
+        time::sleep(READ_WINDOW).await;
         let Some(held) = held.upgrade() else {
             return;
         };
-        let passed_frames = lock(&held).as_ref().map(|response| response.passed_frames);
-        if passed_frames.is_none() {
+        let mut response = lock(&held);
+        let Some(open) = response.as_ref() else {
             return;
+        };
+        let passed_bytes = (!open.is_awaited).then_some(open.passed_bytes);
+        if let (Some(last), Some(passed)) = (last, passed_bytes)
+            && passed - last < MIN_WINDOW_BYTES
+        {
+            return truncate(&mut response);
         }
-        if passed_frames == last_frames {
-            return truncate(&mut lock(&held));
-        }
-        last_frames = passed_frames;
-        drop(held);
-        time::sleep(UNREAD_TIMEOUT).await;
+        last = passed_bytes;
     }
 }
 
@@ -140,8 +146,12 @@
         match &polled {
             Poll::Ready(None) => response.finish(),
             Poll::Ready(Some(Err(_))) => response.guard.result = calls::RunResult::Truncated,
-            Poll::Ready(Some(Ok(_))) => response.passed_frames += 1,
+            Poll::Ready(Some(Ok(frame))) => {
+                response.is_awaited = false;
+                response.passed_bytes += frame.data_ref().map_or(0, Bytes::len) as u64;
+            }
             Poll::Pending => {
+                response.is_awaited = true;
                 let deadline = timeout.as_mut().map(|timeout| timeout.deadline.as_mut());
                 if deadline.is_some_and(|deadline| deadline.poll(cx).is_ready()) {
                     truncate(&mut held);
