End heads and small bodies that come byte by byte

What callers saw: nothing directly; a caller that sent a body of up to 64 KiB one byte at a time held its connection and its memory without an end, and one that sent the first bytes of an HTTP/2 preface started its time limit anew with each.

Cause: a time limit that starts anew with each byte is none, and the body of a request that was not offered yet had no limit at all.

Change: a body that is gathered before its request is offered comes at `connections.slow_rate` over five seconds, or its request is refused with 408, HZ3031, not-run, and the connection closes. The preface has the time of a head from its first byte on.

Evidence: `connections::slow_prefaces` is green (it was before by the limit of connections alone). The slow body has no test of its own in this commit.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -14,7 +14,11 @@
 
 use bytes::BytesMut;
 use hazeltiller_catalogue::entry;
-use hazeltiller_engine::{calls, connections, event, settings as engine_settings};
+use hazeltiller_engine::{
+    calls,
+    connections::{self, memory},
+    event, settings as engine_settings,
+};
 use hazeltiller_units::{code, ids};
 use hazeltiller_wire::calls as wire;
 use http_body_util::{BodyExt, Limited};
@@ -89,7 +93,7 @@
     let uses_link = uses_link(&stream);
     let mut preface = BytesMut::new();
     let is_http2 = tokio::select! {
-        is_http2 = detect_http2(&mut stream, &mut preface, limits.idle_timeout) => is_http2,
+        is_http2 = detect_http2(&mut stream, &mut preface, &limits) => is_http2,
         () = context.drain.wait_for_phase(drain::DrainPhase::Closing) => None,
     };
     let Some(is_http2) = is_http2 else {
@@ -118,13 +122,18 @@
 async fn detect_http2(
     stream: &mut TcpStream,
     preface: &mut BytesMut,
-    timeout: Duration,
+    limits: &http1::ConnectionLimits,
 ) -> Option<bool> {
+    let mut deadline = time::Instant::now() + limits.idle_timeout;
     while HTTP2_PREFACE.starts_with(preface) && preface.len() < HTTP2_PREFACE.len() {
-        let read = time::timeout(timeout, stream.read_buf(preface)).await;
+        let is_first = preface.is_empty();
+        let read = time::timeout_at(deadline, stream.read_buf(preface)).await;
         if !matches!(read, Ok(Ok(1..))) {
             return None;
         }
+        if is_first {
+            deadline = time::Instant::now() + limits.head_timeout;
+        }
     }
     Some(preface.starts_with(HTTP2_PREFACE))
 }
@@ -216,7 +225,12 @@
         position: Arc<http1::PipelinePosition>,
     ) -> http1::CallResponse {
         let context = Arc::clone(&self.context);
-        serve_admitted(context, admitted, self.uses_link, Some(position)).await
+        let mut response = serve_admitted(context, admitted, self.uses_link, Some(position)).await;
+        if response.extensions().get::<ConnectionEnd>().is_some() {
+            let close = header::HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+        }
+        response
     }
 
     fn reserve(&self, bytes: u64) -> Option<client_connections::HeldBytes> {
@@ -224,6 +238,11 @@
     }
 }
 
+/// Extension of a response after which an HTTP/1.1 connection closes, so that the rest of a refused
+/// body is not read.
+#[derive(Debug, Clone, Copy)]
+struct ConnectionEnd;
+
 /// Returns whether a caller is on another machine, so that responses to it take this node's link.
 fn uses_link(stream: &TcpStream) -> bool {
     match (stream.peer_addr(), stream.local_addr()) {
@@ -337,7 +356,13 @@
             dialect.set_caller_headers(response.headers_mut(), &id);
             response
         }
-        Err(refusal) => dialect.refuse(&refusal, &id),
+        Err(refusal) => {
+            let mut response = dialect.refuse(&refusal, &id);
+            if refusal.code == code::ResultCode::BodyTooSlow {
+                response.extensions_mut().insert(ConnectionEnd);
+            }
+            response
+        }
     }
 }
 
@@ -429,9 +454,11 @@
     let length = body.size_hint().exact();
     let source =
         replay::BodySource::new(limit_body_size(body, max_body_bytes), replay_limit as usize);
-    let read = gather_body(&source, length, is_chunked, &context.request_tunables).await;
-    read.map_err(|_broken| {
-        if source.exceeds_limit() {
+    let read = gather_body(context, &source, length, is_chunked).await;
+    read.map_err(|error| {
+        if error.is::<replay::BodyTooSlow>() {
+            wire::CallRefusal::not_run(code::ResultCode::BodyTooSlow)
+        } else if source.exceeds_limit() {
             wire::CallRefusal::not_run(code::ResultCode::BodyOverLimit)
         } else {
             malformed()
@@ -456,13 +483,15 @@
 /// Buffers what is needed of a body before its request is offered: all of a short one, of others
 /// enough to tell the request by.
 async fn gather_body(
+    context: &process::ProcessContext,
     source: &replay::BodySource,
     length: Option<u64>,
     is_chunked: bool,
-    tunables: &engine_settings::RequestTunables,
 ) -> Result<(), http::BodyError> {
+    let tunables = &context.request_tunables;
     if length.is_some_and(|length| length <= tunables.replay_bytes) {
-        return source.buffer_all().await;
+        let policy = memory::MemoryPolicy::new(&context.connection_tunables);
+        return source.buffer_all(policy.slow_bytes, policy.window).await;
     }
     if is_chunked {
         // A body that is invalid from the start is never offered.
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -125,6 +125,7 @@
         code::ResultCode::RateExceeded | code::ResultCode::AllowanceExceeded => {
             StatusCode::TOO_MANY_REQUESTS
         }
+        code::ResultCode::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
         code::ResultCode::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
         code::ResultCode::TargetFailed | code::ResultCode::PeerLost => StatusCode::BAD_GATEWAY,
         code::ResultCode::RequestMalformed => StatusCode::BAD_REQUEST,
--- a/crates/daemon/src/replay.rs
+++ b/crates/daemon/src/replay.rs
@@ -23,6 +23,11 @@
 #[snafu(display("a later attempt has taken over the request body"))]
 struct BodySuperseded;
 
+/// The caller sends its body too slowly.
+#[derive(Debug, Snafu)]
+#[snafu(display("the request body comes too slowly"))]
+pub struct BodyTooSlow;
+
 /// State of a source, shared by the bodies of all attempts.
 #[derive(Debug)]
 struct SourceState {
@@ -69,10 +74,19 @@
         std::future::poll_fn(|cx| self.state().poll_read(cx)).await
     }
 
-    /// Buffers the whole body. The caller has to check that its length is within the bound.
-    pub async fn buffer_all(&self) -> Result<(), http::BodyError> {
-        while !self.state().is_ended {
-            self.buffer_next_frame().await?;
+    /// Buffers the whole body. The caller has to check that its length is within the bound. Fails with
+    /// [`BodyTooSlow`] if fewer than `min_bytes` come within a window.
+    pub async fn buffer_all(
+        &self,
+        min_bytes: u64,
+        window: Duration,
+    ) -> Result<(), http::BodyError> {
+        while !self.is_ended() {
+            let before = self.buffered_bytes();
+            self.buffer_some(usize::MAX, window).await?;
+            if !self.is_ended() && self.buffered_bytes() - before < min_bytes {
+                return Err(BodyTooSlow.into());
+            }
         }
         Ok(())
     }
