Callers that disconnect don't end a link between two nodes

What callers saw: 502 (HZ3016, unknown) for a request that had nothing to do with a crowd of callers which disconnected at the same time.

Cause: the calls of a caller that disconnects are cancelled on the link to the target's node. The HTTP library there takes more than 20 streams that were reset before they were accepted for an attack (rapid reset) and ends the connection, which all calls between the two nodes share. So anybody who disconnects with enough requests under way ends the calls of everybody else.

Change: the node of the target takes as many such resets as there may be calls. Its peers have authenticated themselves, and what their callers may send is limited where they connect.

Why it works: the limit guards against strangers, and none speak on a link.

--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -21,6 +21,9 @@
 /// handed over. What is buffered of it goes out as the peer reads, which is slow on a narrow link.
 const FINAL_FLUSH_TIME: Duration = Duration::from_millis(1000);
 
+/// Most calls on a connection.
+const MAX_CALLS: u32 = 4096;
+
 /// Allowance for the headers that a node adds to those of a caller, in bytes.
 const ADDED_HEADER_BYTES: u32 = 8192;
 
@@ -146,7 +149,10 @@
         // What is buffered here counts as sent: its target's slot is free for the next response,
         // and a stopping node waits for no more than the final flush.
         .max_send_buf_size(pool::STREAM_WINDOW_BYTES as usize)
-        .max_concurrent_streams(4096);
+        .max_concurrent_streams(MAX_CALLS)
+        // Callers that disconnect have their calls cancelled, as many at once as there are. The
+        // library takes more than a few for an attack and ends the connection with all its calls.
+        .max_pending_accept_reset_streams(MAX_CALLS as usize);
     let in_flight = context.drain.in_flight();
     let written = counted_stream::WrittenBytes::default();
     let stream = counted_stream::CountedStream::new(stream, written.clone());
--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -8,6 +8,7 @@
 mod connections;
 mod http1;
 mod http2;
+mod links;
 mod operators;
 mod scene;
 mod slow;
--- a/tests/crowds/scene.rs
+++ b/tests/crowds/scene.rs
@@ -59,16 +59,21 @@
 impl CrowdScene {
     /// Starts a scene in which memory is the limit that crowds meet.
     pub(crate) async fn start_with_little_memory(response_bytes: usize) -> Self {
-        Self::start(response_bytes, MANY_DESCRIPTORS).await
+        Self::start(response_bytes, MANY_DESCRIPTORS, "info").await
+    }
+
+    /// Starts such a scene whose processes log what they usually don't.
+    pub(crate) async fn start_with_debug_log(response_bytes: usize) -> Self {
+        Self::start(response_bytes, MANY_DESCRIPTORS, "debug").await
     }
 
     /// Starts a scene in which descriptors are the limit that crowds meet.
     pub(crate) async fn start_with_few_descriptors() -> Self {
         const RESPONSE_BYTES: usize = 100;
-        Self::start(RESPONSE_BYTES, FEW_DESCRIPTORS).await
+        Self::start(RESPONSE_BYTES, FEW_DESCRIPTORS, "info").await
     }
 
-    async fn start(response_bytes: usize, max_descriptors: u32) -> Self {
+    async fn start(response_bytes: usize, max_descriptors: u32, log_level: &str) -> Self {
         let turn = TURN.lock().await;
         let mut fleet = fleet::Fleet::new(support::DAEMON);
         fleet.add_controls("brasov-a", &["control-1"]).await;
@@ -77,6 +82,7 @@
         for name in INSTANCES {
             let instance = fleet.instance(name);
             instance.settings["installation"] = json!({"memory_mb": MEMORY_MB});
+            instance.settings["log"] = json!({"level": log_level});
             instance.max_descriptors = Some(max_descriptors);
         }
         fleet.start(&["control-1"], &["--bootstrap"]).await;
