--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -127,7 +127,9 @@
         }
         code::ResultCode::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
         code::ResultCode::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
-        code::ResultCode::TargetFailed | code::ResultCode::PeerLost => StatusCode::BAD_GATEWAY,
+        code::ResultCode::TargetFailed
+        | code::ResultCode::PeerLost
+        | code::ResultCode::MalformedAnswer => StatusCode::BAD_GATEWAY,
         code::ResultCode::RequestMalformed => StatusCode::BAD_REQUEST,
         code::ResultCode::RunInProgress
         | code::ResultCode::RunAlreadyDone
@@ -146,6 +148,12 @@
     headers.contains_key(header::CONTENT_LENGTH) && headers.contains_key(header::TRANSFER_ENCODING)
 }
 
+/// Returns whether a status is that of a final response (RFC 9110, 15). No request is sent that asks for
+/// an upgrade, so that 101 is none either.
+pub fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Returns about the number of bytes that headers hold in memory.
 pub fn headers_bytes(headers: &hyper::HeaderMap) -> u64 {
     let line_bytes = |(name, value): (&header::HeaderName, &header::HeaderValue)| {
--- a/crates/daemon/src/owner.rs
+++ b/crates/daemon/src/owner.rs
@@ -328,7 +328,7 @@
     ) -> Response<http::StreamBody> {
         let (parts, body) = response.into_parts();
         let context = Arc::clone(&self.guard.context);
-        let verdict = if http::has_two_framings(&parts.headers) {
+        let verdict = if http::has_two_framings(&parts.headers) || !http::is_final(parts.status) {
             dialect::ResponseVerdict::Invalid
         } else {
             let calls = &context.dialects.calls;
--- a/tests/all/framing.rs
+++ b/tests/all/framing.rs
@@ -63,3 +63,42 @@
     assert!(reached > 0, "no request behind a break reached the target");
     assert_eq!(answered, reached);
 }
+
+/// Statuses that are none of a final response (RFC 9110, 15), or none at all.
+const NO_STATUSES: [&str; 10] = [
+    "000", "001", "099", "100", "101", "199", "600", "999", "20", "2000",
+];
+
+/// Guards against a status that is none and reaches a caller as the response.
+#[tokio::test(flavor = "multi_thread")]
+async fn statuses_that_are_none() {
+    let mut fleet = support::start_two_nodes().await;
+    let node = fleet.instance("node-1").addresses["target"];
+    let target = raw::RawTarget::start(node, "numbered", raw::RawResponse::Status).await;
+    for name in ["node-1", "node-2"] {
+        wait::until("the target at the node", || async {
+            let document = fleet.read(name, "/v1/targets").await?;
+            document.to_string().contains("numbered").then_some(())
+        })
+        .await;
+        let callers = fleet.instance(name).addresses["callers"];
+        for status in NO_STATUSES {
+            let path = format!("/vehicles/{name}/status-{status}");
+            let request = format!("GET {path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
+            let text = raw::exchange_bytes(callers, &request).await;
+            assert!(
+                text.starts_with("HTTP/1.1 502 "),
+                "{name}: {status}: {text}"
+            );
+            assert!(
+                text.contains("outcome: unknown"),
+                "{name}: {status}: {text}"
+            );
+        }
+    }
+    let received = target.received().await.concat();
+    assert!(
+        received.contains("status-101"),
+        "no request reached the target"
+    );
+}
--- a/tests/all/raw.rs
+++ b/tests/all/raw.rs
@@ -28,6 +28,8 @@
     /// Writes the first bytes and closes the connection after a request with this text in its head,
     /// and the second bytes after others.
     BreaksOff(&'static str, &'static str, &'static str),
+    /// Writes a response with the status that ends the path of the request, and closes the connection.
+    Status,
 }
 
 /// A target that records the bytes it receives.
@@ -79,6 +81,13 @@
                     drop(stream.write_all(bytes.as_bytes()).await);
                     break;
                 }
+                RawResponse::Status => {
+                    let path = text.split_whitespace().nth(1).unwrap_or_default();
+                    let status = path.rsplit('-').next().unwrap_or_default();
+                    let head = format!("HTTP/1.1 {status} None\r\ncontent-length: 2\r\n\r\nok");
+                    drop(stream.write_all(head.as_bytes()).await);
+                    break;
+                }
                 RawResponse::BreaksOff(marker, broken, _) if text.contains(marker) => {
                     drop(stream.write_all(broken.as_bytes()).await);
                     break;
