--- a/tests/all/endless.rs
+++ b/tests/all/endless.rs
@@ -1,6 +1,6 @@
 //! Bytes without end from a target: in heads, bodies, between responses and in health probes.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use hazeltiller_standin::{
     behaviour,
@@ -14,6 +14,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
+    time,
 };
 
 use crate::support;
@@ -239,6 +240,55 @@
     }
 }
 
+/// A response that nobody read kept its slot until its deadline, however far away that was.
+#[tokio::test(flavor = "multi_thread")]
+async fn unread_before_deadline() {
+    let scene = EndlessScene::start_untimed().await;
+    scene.set_script(Some(script(EndlessPlace::Body)));
+    let mut stream = TcpStream::connect(scene.callers)
+        .await
+        .expect("the node listens");
+    let request = b"GET /vehicles/unread HTTP/1.1\r\nhost: a\r\n\r\n";
+    stream
+        .write_all(request)
+        .await
+        .expect("it reads the request");
+    wait::until("bytes without end", || async {
+        (scene.target.endless().begun() > 0).then_some(())
+    })
+    .await;
+    scene.assert_over(EndlessPlace::Body).await;
+    drop(stream);
+}
+
+/// The body of a request that was not offered yet had no time limit.
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_request_body() {
+    let scene = EndlessScene::start().await;
+    let mut stream = TcpStream::connect(scene.callers)
+        .await
+        .expect("the node listens");
+    let head = b"POST /certificates/slow HTTP/1.1\r\nhost: a\r\ncontent-length: 60000\r\n\r\n";
+    stream.write_all(head).await.expect("it reads the request");
+    let (mut reader, mut writer) = stream.into_split();
+    let mut response = String::new();
+    let sending = async {
+        while writer.write_all(b"b").await.is_ok() {
+            time::sleep(Duration::from_millis(100)).await;
+        }
+        std::future::pending::<()>().await;
+    };
+    tokio::select! {
+        read = wait::complete("the end of the connection", reader.read_to_string(&mut response)) => {
+            drop(read);
+        }
+        () = sending => {}
+    }
+    assert!(response.starts_with("HTTP/1.1 408 "), "{response}");
+    assert!(response.contains("outcome: not-run"), "{response}");
+    assert!(response.contains("HZ3031"), "{response}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn endless_ends() {
     let scene = EndlessScene::start_untimed().await;
