Count what is received of a body and not read yet

Cause: an HTTP/2 stream takes 64 KiB of a body, and an HTTP/1.1 connection four reads of one, before the handler reads them. Neither was on the account: 1,351 HTTP/2 connections could hold 256 KiB each beside it.

Change: a request is charged for its kept body twice. The parameters of two test handlers are renamed after the trait's.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -306,7 +306,7 @@
 }
 
 /// Returns the bytes that a request holds until its response comes: its head, of which each attempt
-/// has a copy, and what is kept of its body.
+/// has a copy, what is kept of its body, and as much that was received and not read yet.
 fn needed_bytes(tunables: &engine_settings::RequestTunables, request: &http1::CallRequest) -> u64 {
     let target_bytes = request
         .uri()
@@ -317,7 +317,7 @@
         Some(bytes) => bytes.min(tunables.replay_bytes),
         None => tunables.replay_bytes,
     };
-    REQUEST_OVERHEAD_BYTES + 2 * head_bytes + body_bytes
+    REQUEST_OVERHEAD_BYTES + 2 * (head_bytes + body_bytes)
 }
 
 fn refuse_for_memory(
--- a/tests/all/pipelining.rs
+++ b/tests/all/pipelining.rs
@@ -74,7 +74,7 @@
 
     async fn serve(
         &self,
-        _request: http1::CallRequest,
+        _admitted: http1::CallRequest,
         _position: Arc<http1::PipelinePosition>,
     ) -> http1::CallResponse {
         let mut response = Response::new(self.0.clone().boxed_unsync());
@@ -238,10 +238,10 @@
 
     async fn serve(
         &self,
-        request: http1::CallRequest,
+        admitted: http1::CallRequest,
         _position: Arc<http1::PipelinePosition>,
     ) -> http1::CallResponse {
-        let sent = self.0.send(request.into_body());
+        let sent = self.0.send(admitted.into_body());
         sent.expect("the test receives the body");
         std::future::pending().await
     }
