Say in the docs of the account which requests are refused

Cause: a link to a private item stopped the documentation build. Change: the text names the share of the budget. No code changes; the documentation builds.

--- a/crates/engine/src/connections/memory.rs
+++ b/crates/engine/src/connections/memory.rs
@@ -3,8 +3,8 @@
 //! Requests that were read ahead, bodies kept for another attempt and responses that nobody reads are
 //! each bounded, but not their sum over all connections. The account counts them by connection:
 //!
-//! * A request that would take the sum over [`MemoryPolicy::open_bytes`] is refused before its body
-//!   is read, unless its connection holds nothing yet: the rest of the budget is for those.
+//! * A request that would take the sum over three quarters of the budget is refused before its body
+//!   is read, unless its connection holds nothing yet: the last quarter is for those.
 //! * A connection that holds a sixteenth of the budget gets no further request served, and listeners
 //!   that are not for callers hold no more than half of it.
 //! * What has begun is finished. While the sum is above that mark, the connections whose clients do
