Move the admission of callers' requests to a file of its own

Change: what admits or refuses a request by its memory stands in `callers/admission.rs`; nothing else changes. Measured: formatter and linter of the crate pass.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -17,7 +17,7 @@
 use hazeltiller_engine::{
     calls,
     connections::{self, memory},
-    event, settings as engine_settings,
+    event,
 };
 use hazeltiller_units::{code, ids};
 use hazeltiller_wire::calls as wire;
@@ -37,6 +37,7 @@
     time,
 };
 
+mod admission;
 mod attempt;
 mod head;
 mod placement;
@@ -59,10 +60,6 @@
 const MAX_STREAMS: u32 = 100;
 /// Time in which an idle HTTP/2 connection is shut down gracefully.
 const IDLE_SHUTDOWN_TIME: Duration = Duration::from_secs(1);
-/// Bytes of memory that a request takes besides its head and its body, until its response is written:
-/// its task, and its state in the engine.
-const REQUEST_OVERHEAD_BYTES: u64 = 16_384;
-
 /// Accepts connections until the drain reaches [`drain::DrainPhase::Closing`]. A node that is
 /// leaving still accepts them.
 pub async fn serve(context: Arc<process::ProcessContext>, listener: TcpListener) {
@@ -148,7 +145,7 @@
     let (shared, client) = (Arc::clone(context), connection.clone());
     let service = service::service_fn(move |request: Request<Incoming>| {
         let context = Arc::clone(&shared);
-        let admitted = admit(&context, &client, request.map(http::stream_body));
+        let admitted = admission::admit(&context, &client, request.map(http::stream_body));
         let served: Pin<Box<dyn Future<Output = _> + Send>> = match admitted {
             Ok(admitted) => Box::pin(serve_admitted(context, admitted, uses_link, None)),
             Err(refused) => Box::pin(future::ready(*refused)),
@@ -209,19 +206,19 @@
 }
 
 impl http1::CallHandler for CallerHandler {
-    type Admitted = AdmittedRequest;
+    type Admitted = admission::AdmittedRequest;
     type Reservation = client_connections::HeldBytes;
 
     fn admit(
         &self,
         request: http1::CallRequest,
-    ) -> Result<AdmittedRequest, Box<http1::CallResponse>> {
-        admit(&self.context, &self.connection, request)
+    ) -> Result<admission::AdmittedRequest, Box<http1::CallResponse>> {
+        admission::admit(&self.context, &self.connection, request)
     }
 
     async fn serve(
         &self,
-        admitted: AdmittedRequest,
+        admitted: admission::AdmittedRequest,
         position: Arc<http1::PipelinePosition>,
     ) -> http1::CallResponse {
         let context = Arc::clone(&self.context);
@@ -251,41 +248,14 @@
     }
 }
 
-/// A request whose memory is on the account of its connection.
-struct AdmittedRequest {
-    request: http1::CallRequest,
-    connection: client_connections::ClientConnection,
-    open: client_connections::OpenRequest,
-    held: client_connections::HeldBytes,
-}
-
-/// Admits a request unless too much is held for callers. The error is the response that refuses it.
-fn admit(
-    context: &process::ProcessContext,
-    connection: &client_connections::ClientConnection,
-    request: http1::CallRequest,
-) -> Result<AdmittedRequest, Box<http1::CallResponse>> {
-    let open = connection.begin_request();
-    let needed_bytes = needed_bytes(&context.request_tunables, &request);
-    match connection.admit(needed_bytes) {
-        Some(held) => Ok(AdmittedRequest {
-            request,
-            connection: connection.clone(),
-            open,
-            held,
-        }),
-        None => Err(Box::new(refuse_for_memory(context, &request))),
-    }
-}
-
 /// Serves a request. What its response holds is charged to its connection until it is written.
 async fn serve_admitted(
     context: Arc<process::ProcessContext>,
-    admitted: AdmittedRequest,
+    admitted: admission::AdmittedRequest,
     uses_link: bool,
     position: Option<Arc<http1::PipelinePosition>>,
 ) -> http1::CallResponse {
-    let AdmittedRequest {
+    let admission::AdmittedRequest {
         request,
         connection,
         open,
@@ -299,38 +269,12 @@
     } else {
         response
     };
-    let held = connection.hold(REQUEST_OVERHEAD_BYTES);
+    let held = connection.hold(admission::REQUEST_OVERHEAD_BYTES);
     let charge =
         |body| client_connections::ChargedBody::new(body, open, max_held_bytes).beside(held);
     response.map(|body| charge(body).boxed_unsync())
 }
 
-/// Returns the bytes that a request holds until its response comes: its head, of which each attempt
-/// has a copy, what is kept of its body, and as much that was received and not read yet.
-fn needed_bytes(tunables: &engine_settings::RequestTunables, request: &http1::CallRequest) -> u64 {
-    let target_bytes = request
-        .uri()
-        .path_and_query()
-        .map_or(0, |path| path.as_str().len());
-    let head_bytes = http::headers_bytes(request.headers()) + target_bytes as u64;
-    let body_bytes = match request.body().size_hint().upper() {
-        Some(bytes) => bytes.min(tunables.replay_bytes),
-        None => tunables.replay_bytes,
-    };
-    REQUEST_OVERHEAD_BYTES + 2 * (head_bytes + body_bytes)
-}
-
-fn refuse_for_memory(
-    context: &process::ProcessContext,
-    request: &http1::CallRequest,
-) -> http1::CallResponse {
-    let dialect = &context.dialects.calls;
-    let head = dialect.read_head(request.headers()).ok();
-    let id = head.and_then(|head| head.request);
-    let id = id.unwrap_or_else(|| context.request_ids.new_id());
-    dialect.refuse(&client_connections::memory_refusal(), &id)
-}
-
 async fn serve_request(
     context: Arc<process::ProcessContext>,
     request: http1::CallRequest,
